--- a/src/monsoonlug/admission.py
+++ b/src/monsoonlug/admission.py
@@ -8,6 +8,7 @@
 workspace key.
 """
 
+import math
 import re
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
     UnknownRoute,
 )
 from monsoonlug.ids import Revision, WorkspaceId
+from monsoonlug.lookup import ServedRoute
 
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16_384  # bytes of all names and values
@@ -120,9 +122,10 @@
         headers: Headers to forward, Content-Length included.
         content_length: Bytes of the body, or None if the body is chunked.
         idempotency_key: The caller's Idempotency-Key, or an empty string.
+        objective_at: Time on the host's clock from which on an answer is late.
     """
 
-    route: Route
+    route: Route | ServedRoute
     workspace: WorkspaceId | None
     key_digest: str
     routing_key: str
@@ -131,6 +134,7 @@
     headers: list[tuple[str, str]]
     content_length: int | None
     idempotency_key: str
+    objective_at: float = math.inf
 
 
 class BodyCounter:
@@ -229,11 +233,11 @@
     """
     if head.method not in KNOWN_METHODS:
         raise MethodNotAllowed()
-    headers = _read_headers(head.headers)
-    named = _group_headers(headers)
-    _check_host(named)
-    dropped = _list_connection_names(named)
-    length = _read_length(named)
+    headers = read_headers(head.headers)
+    named = group_headers(headers)
+    check_host(named)
+    dropped = list_connection_names(named)
+    length = read_length(named)
     path, query = _split_target(head.target)
     route, rest = index.match_route(head.method, path)
     if length is not None and length > route.limits.body:
@@ -254,7 +258,7 @@
         routing_key=routing_key,
         method=head.method,
         target=target,
-        headers=_strip_headers(headers, dropped, key),
+        headers=strip_headers(headers, dropped, key),
         content_length=length,
         idempotency_key=idempotency_key,
     )
@@ -274,7 +278,13 @@
     return workspace
 
 
-def _read_headers(raw: Sequence[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+def read_headers(raw: Sequence[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    """Returns names and values of headers as text.
+
+    Raises:
+        BadRequest: If a name or value has characters that are not allowed.
+        HeadersTooLarge: If there are too many, or too long ones.
+    """
     if len(raw) > MAX_HEADERS:
         raise HeadersTooLarge(f"more than {MAX_HEADERS} headers")
     size = 0
@@ -295,7 +305,8 @@
     return headers
 
 
-def _group_headers(headers: list[tuple[str, str]]) -> dict[str, list[str]]:
+def group_headers(headers: list[tuple[str, str]]) -> dict[str, list[str]]:
+    """Returns the values of headers by lower-case name."""
     named: dict[str, list[str]] = {}
     for name, value in headers:
         named.setdefault(name.lower(), []).append(value)
@@ -311,13 +322,23 @@
     return values[0]
 
 
-def _check_host(named: dict[str, list[str]]) -> None:
+def check_host(named: dict[str, list[str]]) -> None:
+    """Checks the Host header.
+
+    Raises:
+        BadRequest: If it is missing, repeated or malformed.
+    """
     host = _read_single(named, "host")
     if host is None or not _HOST.fullmatch(host):
         raise BadRequest("the header host is missing or not valid")
 
 
-def _list_connection_names(named: dict[str, list[str]]) -> set[str]:
+def list_connection_names(named: dict[str, list[str]]) -> set[str]:
+    """Returns the lower-case names of headers that concern this connection only.
+
+    Raises:
+        BadRequest: If Connection names a header that must reach the backend server.
+    """
     names = set()
     for value in named.get("connection", ()):
         for part in value.split(","):
@@ -327,7 +348,12 @@
     return names
 
 
-def _read_length(named: dict[str, list[str]]) -> int | None:
+def read_length(named: dict[str, list[str]]) -> int | None:
+    """Returns the bytes of the body, or None if it comes in chunks.
+
+    Raises:
+        BadRequest: If the headers contradict each other or are malformed.
+    """
     length = _read_single(named, "content-length")
     coding = _read_single(named, "transfer-encoding")
     if coding is not None and length is not None:
@@ -460,9 +486,16 @@
     return "%" in text and (key in unquote(text) or key in unquote_plus(text))
 
 
-def _strip_headers(
+def strip_headers(
     headers: list[tuple[str, str]], dropped: set[str], key: str
 ) -> list[tuple[str, str]]:
+    """Returns the headers that a backend server may see.
+
+    Args:
+        headers: Names and values.
+        dropped: Lower-case names of headers of this connection.
+        key: The workspace key, which no header may hold.
+    """
     kept = []
     for name, value in headers:
         lower = name.lower()
--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -54,6 +54,7 @@
         gate_epoch: Epoch of the sender's appointment as gate.
         idempotency_key: The caller's Idempotency-Key, or an empty string.
         deadline: Time on the backend's clock until which an answer is of use.
+        idempotent: Whether the request may run more than once.
     """
 
     request: RequestId
@@ -66,6 +67,7 @@
     gate_epoch: Epoch
     idempotency_key: str
     deadline: float
+    idempotent: bool = True
 
 
 class BackendAnswer(ABC):
--- a/src/monsoonlug/consensus.py
+++ b/src/monsoonlug/consensus.py
@@ -27,6 +27,7 @@
     VoteRequest,
 )
 from monsoonlug.replica_state import ReplicaState
+from monsoonlug.timing import DEFAULT_TIMES, ConsensusTimes
 
 MAX_COMMAND_SIZE = 786_432  # bytes; an entry and its envelope fit into a frame
 
@@ -45,6 +46,9 @@
         storage: Durable state.
         random: Source of the election timeouts.
         now: Time in seconds.
+        times: Timing of the group.
+        may_found: Whether replicas without a log may form a new group. A replica that
+            joins an existing group must not, even if all that it knows are empty.
     """
 
     def __init__(
@@ -55,15 +59,23 @@
         storage: Storage,
         random: random_module.Random,
         now: float,
+        times: ConsensusTimes = DEFAULT_TIMES,
+        may_found: bool = True,
     ):
         state = ReplicaState(
-            replica_id=replica_id, storage=storage, random=random, now=now
+            replica_id=replica_id,
+            storage=storage,
+            random=random,
+            now=now,
+            times=times,
         )
         self._id = replica_id
         self._state = state
         self._log = state.log
         self._initial = tuple(dict.fromkeys(members))
-        self._elections = Elections(state=state, members=self._initial)
+        self._elections = Elections(
+            state=state, members=self._initial, may_found=may_found
+        )
         self._follower = Follower(state=state)
         self._round_count = 0
         self._handlers: dict[type, Callable] = {
@@ -75,7 +87,8 @@
             SnapshotAnswer: self._take_snapshot_answer,
             IdentityRefused: self._take_refusal,
         }
-        if (state.log.members.voters or self._initial) == (replica_id,):
+        alone = self._initial if may_found else ()
+        if (state.log.members.voters or alone) == (replica_id,):
             state.elect_at = now
 
     @property
@@ -221,6 +234,10 @@
         if index > self._log.base_index:
             self._log.compact(index, state)
 
+    def set_contacts(self, contacts: tuple[ReplicaId, ...]) -> None:
+        """Names the replicas that a joining replica asks to be admitted."""
+        self._elections.set_contacts(contacts)
+
     def add_learner(
         self, now: float, replica_id: ReplicaId, identity: str
     ) -> list[Action]:
@@ -268,6 +285,23 @@
             return False
         return replica_id == self._id or self._holds_committed(replica_id)
 
+    def is_caught_up(self, replica_id: ReplicaId) -> bool:
+        """Whether a member was heard lately and has synced everything committed.
+
+        Raises:
+            NotLeader: If this replica is not the leader.
+        """
+        return self._holds_committed(replica_id)
+
+    def heard_at(self, replica_id: ReplicaId) -> float:
+        """Returns when a follower answered last, in seconds.
+
+        Raises:
+            NotLeader: If this replica is not the leader.
+        """
+        progress = self._get_leadership().find(replica_id)
+        return progress.heard_at if progress else float("-inf")
+
     def _advance(self, now: float) -> float:
         state = self._state
         state.now = max(state.now, now)
@@ -287,7 +321,11 @@
             return
         state = self._state
         state.leadership = Leadership(
-            replica_id=self._id, term=state.term, log=self._log, now=state.now
+            replica_id=self._id,
+            term=state.term,
+            log=self._log,
+            now=state.now,
+            times=state.times,
         )
         state.set_role(Role.LEADER, self._id)
         if state.is_empty:
--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -97,6 +97,7 @@
         self._admitted = admitted
         self._request_id = request_id
         self._deadline = deadline
+        self.sent_to = ""
         self._attempts = attempts
         self._request = request
         self._on_prepare = on_prepare
@@ -225,6 +226,7 @@
         except StreamClosed:
             return self._fail(send.attempt, StreamClosed, None)
         self._target = target
+        self.sent_to = f"{target.server} by {target.host}"
         self._tried.add(target.server)
         self._outcome = Outcome.ABANDONED
         self._tools.finder.start(self._admitted, target, head.request)
@@ -265,6 +267,9 @@
             headers=[list(pair) for pair in admitted.headers],
             idempotency_key=admitted.idempotency_key,
             has_body=admitted.content_length != 0,
+            pool=target.pool,
+            idempotent=admitted.route.idempotent,
+            objective=min(admitted.objective_at, self._deadline) - self._tools.clock(),
         )
 
     def _number_attempt(self, attempt: int) -> str:
@@ -298,6 +303,7 @@
         attempt = self._attempts.attempt
         match frame:
             case ResponseHead():
+                self._tools.finder.note_wait(self._target, frame.wait)
                 return HeadArrived(
                     attempt=attempt,
                     request_id=self._match_id(frame.request),
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -238,6 +238,7 @@
         budget: Retry budget of this host.
         drops: Counters of this host.
         random: Source of the jitter of retries.
+        max_attempts: Backend servers to which the request may be sent.
     """
 
     def __init__(
@@ -250,7 +251,9 @@
         budget: RetryBudget,
         drops: DropCounts,
         random: Random,
+        max_attempts: int = MAX_ATTEMPTS,
     ):
+        self._max_attempts = max_attempts
         self._request_id = request_id
         self._idempotent = idempotent
         self._pooled = pooled
@@ -438,7 +441,7 @@
     def _has_attempts(self, is_rerouted: bool) -> bool:
         if is_rerouted:
             return self._reroutes < MAX_REROUTES
-        return self.attempt - self._reroutes < MAX_ATTEMPTS
+        return self.attempt - self._reroutes < self._max_attempts
 
     def _refuse(
         self, error: type[MonsoonlugError], retry_after: float | None
--- a/src/monsoonlug/elections.py
+++ b/src/monsoonlug/elections.py
@@ -29,9 +29,18 @@
     Args:
         state: State of the replica.
         members: Ids of the members in the settings.
+        may_found: Whether members without a log may form a new group. If not, they
+            only ask the leader of the existing group to admit them.
     """
 
-    def __init__(self, *, state: ReplicaState, members: tuple[ReplicaId, ...]):
+    def __init__(
+        self,
+        *,
+        state: ReplicaState,
+        members: tuple[ReplicaId, ...],
+        may_found: bool = True,
+    ):
+        self._may_found = may_found
         self._state = state
         self._initial = members
         self._campaign: _Campaign | None = None
@@ -120,6 +129,11 @@
         self._ask_votes(trial=False, term=state.term)
         return self.count_votes()
 
+    def set_contacts(self, contacts: tuple[ReplicaId, ...]) -> None:
+        """Names the replicas that a replica without a log asks to be admitted."""
+        if not self._may_found:
+            self._initial = contacts
+
     def drop(self) -> None:
         """Gives up a candidacy, as there is a leader."""
         self._campaign = None
@@ -142,7 +156,8 @@
 
     def _has_won(self, campaign: _Campaign) -> bool:
         if self._state.is_empty:
-            return set(campaign.granted) == set(self._initial)
+            # A replica that is not a founder could never be bound by these votes.
+            return self._may_found and set(campaign.granted) == set(self._initial)
         members = self._state.log.members
         counted = [name for name in campaign.granted if name in members.voters]
         return len(counted) >= members.quorum
--- a/src/monsoonlug/exchanges.py
+++ b/src/monsoonlug/exchanges.py
@@ -206,6 +206,14 @@
         self._open[host][head.stream] = exchange
         return exchange
 
+    def has_peer(self, host: HostId) -> bool:
+        """Returns whether a host can be reached now."""
+        return host in self._peers
+
+    def list_busy(self) -> list[HostId]:
+        """Returns the hosts with open exchanges."""
+        return [host for host, exchanges in self._open.items() if exchanges]
+
     def number(self) -> int:
         """Returns a number for the next request stream."""
         self._next_stream += 1
--- a/src/monsoonlug/fairness.py
+++ b/src/monsoonlug/fairness.py
@@ -1,5 +1,6 @@
 """Fair queue of waiting requests of one class: deficit round robin by workspace."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -18,6 +19,8 @@
         deadline: Seconds of the gate's monotonic clock.
         slice: Slice of the routing key, or -1 on a pooled route.
         key_digest: Digest of the workspace key that came with the request.
+        objective: Time on the same clock until which an answer is in time.
+        route: Name of the route, whose requests take about the same time.
         payload: What the daemon needs to send the request.
     """
 
@@ -29,6 +32,8 @@
     epoch: Epoch = Epoch(0)
     key_digest: str = ""
     payload: object = None
+    objective: float = math.inf
+    route: str = ""
 
 
 def cost_one(workspace: WorkspaceId) -> float:
--- a/src/monsoonlug/feed.py
+++ b/src/monsoonlug/feed.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 from monsoonlug.actions import Role, RoleChanged, RoundConfirmed
@@ -37,6 +37,7 @@
     read_demands,
     read_holdings,
 )
+from monsoonlug.rounds import RoundQueue
 from monsoonlug.sessions import SessionTable
 from monsoonlug.streams import MessageStream
 from monsoonlug.view import View
@@ -44,7 +45,6 @@
 KEPT_DELTAS = 2_000
 MAX_UNSENT = 8 * 1_048_576  # bytes that may wait for a slow entry
 VIEW_PART = 524_288  # bytes of one `ViewPush`
-ROUND_TIMEOUT = 0.050  # seconds after which the next round begins in any case
 READ_TIMEOUT = 1.0  # seconds
 REPORT_TIMEOUT = 1.5  # seconds until a host counts as missing
 
@@ -59,14 +59,6 @@
     sent: int | None = None
 
 
-@dataclass(slots=True, kw_only=True)
-class _Round:
-    """A round, and what is called once it is confirmed."""
-
-    began_at: float
-    waiting: list[Callable[[], None]] = field(default_factory=list)
-
-
 class Feed:
     """Serves the entries as long as this replica leads.
 
@@ -82,9 +74,8 @@
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
         self._deltas: deque[tuple[int, int, bytes]] = deque(maxlen=KEPT_DELTAS)
-        self._waiting: list[Callable[[], None]] = []
+        self._rounds = RoundQueue(clock=clock, find_group=lambda: self.group)
         self._readers: set[asyncio.Future] = set()
-        self._rounds: dict[int, _Round] = {}
         self._authority_term = Term(0)
         self._deciding: asyncio.Handle | None = None
         self._report_number = 0
@@ -129,8 +120,7 @@
 
     def change_role(self, change: RoleChanged) -> None:
         """Takes the replica's new role."""
-        self._waiting = []
-        self._rounds = {}
+        self._rounds.reset()
         for reader in self._readers:
             if not reader.done():
                 reader.set_exception(NotLeader())
@@ -140,18 +130,12 @@
         now = self._clock()
         self.coordinator = Coordinator(now=now)
         self.sessions.begin(now, self.group.state.view.hosts.values())
-        self._begin_round(now)
+        self._rounds.begin_round(now)
 
     def confirm(self, confirmed: RoundConfirmed) -> None:
         """Answers the heartbeats that came before a round began."""
         self._begin_authority()
-        for round_id in sorted(self._rounds):
-            if round_id > confirmed.round_id:
-                break
-            for answer in self._rounds.pop(round_id).waiting:
-                answer()
-        if self._waiting:
-            self._begin_round(self._clock())
+        self._rounds.confirm(confirmed.round_id)
 
     async def wait_confirmed(self) -> None:
         """Waits until a majority has confirmed that this replica leads.
@@ -164,7 +148,7 @@
         reader = asyncio.get_running_loop().create_future()
         self._readers.add(reader)
         reader.add_done_callback(self._readers.discard)
-        self._await_round(partial(_finish, reader))
+        self._rounds.await_round(partial(_finish, reader))
         try:
             await asyncio.wait_for(reader, READ_TIMEOUT)
         except TimeoutError:
@@ -239,25 +223,7 @@
         self.coordinator.receive(now, heartbeat)
         if subscriber.sent is None:
             self._catch_up(subscriber, heartbeat.revision)
-        self._await_round(partial(self._answer, subscriber, heartbeat, now))
-
-    def _await_round(self, answer: Callable[[], None]) -> None:
-        now = self._clock()
-        self._waiting.append(answer)
-        newest = max((item.began_at for item in self._rounds.values()), default=0.0)
-        if not self._rounds or now - newest > ROUND_TIMEOUT:
-            self._begin_round(now)
-
-    def _begin_round(self, now: float) -> None:
-        waiting, self._waiting = self._waiting, []
-        begun = _Round(began_at=now, waiting=waiting)
-        try:
-            self.group.confirm_round(partial(self._note_round, begun))
-        except NotLeader:
-            return
-
-    def _note_round(self, begun: _Round, round_id: int) -> None:
-        self._rounds[round_id] = begun
+        self._rounds.await_round(partial(self._answer, subscriber, heartbeat, now))
 
     def _answer(
         self, subscriber: _Subscriber, heartbeat: Heartbeat, received_at: float
--- /dev/null
+++ b/src/monsoonlug/fleet_entry.py
@@ -0,0 +1,296 @@
+"""The daemon of an entry of a fleet that announces itself to control."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from aiohttp import web
+
+from monsoonlug.backend import BackendProtocol
+from monsoonlug.clocks import read_clock
+from monsoonlug.daemons import DaemonService
+from monsoonlug.delivery import DeliveryTools
+from monsoonlug.exchanges import ExchangeTable, LocalPeer, Peer
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import Ping, Pong, ServerPut
+from monsoonlug.fleet_targets import FleetFinder
+from monsoonlug.gatehost import GateHost, LiveHost
+from monsoonlug.ids import FailureDomain, HostId
+from monsoonlug.ingress import CallerProtocol, Ingress
+from monsoonlug.items import PoolItem
+from monsoonlug.links import Listener
+from monsoonlug.logs import get_logger
+from monsoonlug.neighbours import NeighbourLinks, StreamPeer
+from monsoonlug.peerwatch import TICK, PeerWatch
+from monsoonlug.settings import split_address
+from monsoonlug.streams import MessageStream
+from monsoonlug.subscription import ROLE, EntryIdentity, Subscription
+
+BOOT_SIZE = 8  # bytes
+ASK_TICK = 0.050  # seconds between two looks at the tokens that are wanted
+LEAVE_NOTICE = 2.6  # seconds; the balancer asks every second and goes by two answers
+END_MARGIN = 0.7  # seconds of the grace time that are left for closing
+POLL_INTERVAL = 0.020  # seconds between two checks while this host leaves
+MAX_LINE = 16_384  # bytes of a request line or of one header
+REVOKE_MARGIN = 0.5  # seconds by which a view is given up before keys may be withdrawn
+
+logger = get_logger("entry")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetEntrySettings:
+    """Settings of one entry.
+
+    Attributes:
+        listen: Where callers' requests come in.
+        readiness: Where the balancer asks whether this host is ready.
+        readiness_path: What it asks for.
+        stream: Where other hosts of the system connect.
+        seeds: Stream addresses of control replicas to begin with.
+        revoke_bound: Seconds after which a withdrawn key must not work anywhere.
+        grace: Seconds from SIGTERM until the process is killed.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    listen: str
+    readiness: str
+    readiness_path: str
+    stream: str
+    seeds: tuple[str, ...]
+    revoke_bound: float
+    grace: float
+
+
+class _Hosts:
+    """The live hosts in the form that `NeighbourLinks` takes."""
+
+    def __init__(self, *, hosts: dict[HostId, LiveHost]):
+        self.hosts = hosts
+
+
+class FleetEntryService(DaemonService):
+    """Runs one entry.
+
+    Args:
+        settings: Settings of the entry.
+        caller_protocol: Headers of the callers.
+        open_backend: Returns the protocol to a backend server.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: FleetEntrySettings,
+        caller_protocol: CallerProtocol,
+        open_backend: Callable[[ServerPut, PoolItem], BackendProtocol],
+    ):
+        super().__init__(logger=logger)
+        self._settings = settings
+        self._caller_protocol = caller_protocol
+        self._open_backend = open_backend
+        self._runners: list[web.BaseRunner] = []
+        self._sites: list[web.TCPSite] = []
+        self._exchanges = ExchangeTable()
+        self._outcomes: dict[tuple[str, str], int] = {}
+
+    async def on_start(self) -> None:
+        """Starts to listen."""
+        settings = self._settings
+        random = Random()
+        self._subscription = Subscription(
+            identity=EntryIdentity(
+                host=settings.host,
+                failure_domain=settings.failure_domain,
+                stream=settings.stream,
+                boot=secrets.token_hex(BOOT_SIZE),
+            ),
+            seeds=settings.seeds,
+            clock=read_clock,
+            random=random,
+            on_view=self._take_view,
+            on_hosts=self._take_hosts,
+            on_cold=lambda server, seconds: self._gates.set_cold(server, seconds),
+            on_tokens=lambda: self._ingress.settle_tokens(),
+            collect=self._collect,
+        )
+        self._gates = GateHost(
+            clock=read_clock,
+            open_backend=self._open_backend,
+            may_serve=lambda digest: self._ingress.may_serve(digest),
+        )
+        self._watch = PeerWatch(
+            clock=read_clock, list_busy=self._exchanges.list_busy, send=self._send
+        )
+        self._finder = FleetFinder(
+            clock=read_clock,
+            random=random,
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            is_reachable=self._is_reachable,
+            blocks=self._subscription.blocks,
+        )
+        tools = DeliveryTools(
+            finder=self._finder,
+            exchanges=self._exchanges,
+            records=None,
+            clock=read_clock,
+        )
+        self._ingress = Ingress(
+            protocol=self._caller_protocol,
+            subscription=self._subscription,
+            tools=tools,
+            clock=read_clock,
+            random=random,
+            view_limit=settings.revoke_bound - REVOKE_MARGIN,
+            record=self._record,
+        )
+        self._neighbours = NeighbourLinks(
+            host=settings.host,
+            role=ROLE,
+            on_open=self._open_host,
+            on_close=self._close_host,
+            on_message=self._receive_answer,
+            random=random,
+        )
+        self._add_own_peer()
+        await self._listen()
+        self._spawn(self._subscription.run())
+        self._spawn(self._run_watch())
+        self._spawn(self._run_asks())
+        logger.info("Entry {} listens at {}.", settings.host, settings.listen)
+
+    async def on_stop(self) -> None:
+        """Ends what runs and stops to listen."""
+        began = read_clock()
+        logger.info("Entry {} is leaving.", self._settings.host)
+        self._ingress.is_leaving = True
+        self._subscription.is_leaving = True
+        self._subscription.beat()
+        await asyncio.sleep(LEAVE_NOTICE)
+        for site in self._sites:
+            await site.stop()
+        until = began + self._settings.grace - END_MARGIN
+        while self._ingress.running or self._gates.running:
+            if read_clock() >= until:
+                logger.warning(
+                    "Stops with {} requests of callers and {} at gates under way.",
+                    self._ingress.running,
+                    self._gates.running,
+                )
+                break
+            await asyncio.sleep(POLL_INTERVAL)
+        self._ingress.is_closed = True
+        await self._cancel_tasks()
+        self._neighbours.stop()
+        await self._listener.stop()
+        logger.info("Entry {} stopped.", self._settings.host)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes the seeds of changed settings."""
+        self._subscription.set_seeds(seeds)
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        self._listener = Listener(
+            address=settings.stream,
+            role=ROLE,
+            sender=settings.host,
+            serve=self._serve_stream,
+        )
+        await self._listener.start()
+        server = web.Server(
+            self._ingress.handle,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAX_LINE,
+            max_field_size=MAX_LINE,
+        )
+        app = web.Application()
+        app.add_routes([web.get(settings.readiness_path, self._answer_readiness)])
+        self._runners = [
+            web.ServerRunner(server),
+            web.AppRunner(app, access_log=None),
+        ]
+        addresses = (settings.listen, settings.readiness)
+        for runner, address in zip(self._runners, addresses, strict=True):
+            await runner.setup()
+            host, port = split_address(address)
+            site = web.TCPSite(runner, host, port, backlog=512)
+            await site.start()
+            if address == settings.listen:
+                self._sites.append(site)
+
+    async def _answer_readiness(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self._ingress.is_ready() else 503)
+
+    # Streams to other entries.
+
+    def _add_own_peer(self) -> None:
+        own = self._settings.host
+        answers = LocalPeer(deliver=partial(self._receive_answer, own))
+        requests = LocalPeer(deliver=partial(self._gates.receive, answers))
+        self._exchanges.add_peer(own, requests)
+
+    def _open_host(self, host: HostId, peer: Peer) -> None:
+        self._exchanges.add_peer(host, peer)
+        self._watch.open(host)
+
+    def _close_host(self, host: HostId) -> None:
+        self._exchanges.remove_peer(host)
+        self._watch.close(host)
+
+    def _is_reachable(self, host: HostId) -> bool:
+        return self._exchanges.has_peer(host) and not self._watch.is_silent(host)
+
+    def _send(self, host: HostId, message: object) -> bool:
+        return self._neighbours.send(host, message)
+
+    def _receive_answer(self, host: HostId, message: object) -> None:
+        self._watch.hear(host)
+        if not isinstance(message, Pong):
+            self._exchanges.receive(host, message)
+
+    async def _serve_stream(self, stream: MessageStream) -> None:
+        peer = StreamPeer(stream=stream)
+        try:
+            async for message in stream.iterate():
+                if isinstance(message, Ping):
+                    peer.send(Pong(number=message.number))
+                    continue
+                self._gates.receive(peer, message)
+        finally:
+            self._gates.lose_peer(peer)
+
+    # What control says.
+
+    def _take_view(self, view: FleetView) -> None:
+        self._ingress.update(view)
+        self._finder.update_fleet(view)
+        self._gates.update(view)
+
+    def _take_hosts(self, hosts: list[LiveHost]) -> None:
+        names = ", ".join(host.host for host in hosts)
+        logger.info("Live entries are {}.", names)
+        self._neighbours.update(_Hosts(hosts={host.host: host for host in hosts}))
+        self._finder.update_hosts(hosts)
+
+    def _collect(self) -> tuple[list, list]:
+        return self._ingress.take_loads(), self._gates.measure()
+
+    def _record(self, route: str, outcome: str, seconds: float) -> None:
+        key = (route, outcome)
+        self._outcomes[key] = self._outcomes.get(key, 0) + 1
+
+    async def _run_watch(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self._watch.tick()
+
+    async def _run_asks(self) -> None:
+        while True:
+            await asyncio.sleep(ASK_TICK)
+            self._subscription.ask()
--- /dev/null
+++ b/src/monsoonlug/fleet_targets.py
@@ -0,0 +1,193 @@
+"""Finds the gate of a request in a fleet that announces itself to control."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from random import Random
+
+from monsoonlug.admission import AdmittedRequest
+from monsoonlug.fleet import FleetView
+from monsoonlug.gate import Outcome
+from monsoonlug.gatehost import (
+    ClosingTimes,
+    GateId,
+    LiveHost,
+    list_gates,
+    name_gate,
+    rank_hosts,
+)
+from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
+from monsoonlug.subscription import KeyBlocks
+from monsoonlug.targets import Target, TargetFinder
+
+PATIENCE = (
+    0.9  # seconds that a request waits for an owner; keys move within a heartbeat
+)
+FOREIGN_COST = 0.020  # seconds; what bytes across a border are worth in waiting time
+WAIT_MEMORY = 0.5  # seconds after which a reported wait has faded
+OWN_WEIGHT = (
+    0.5  # of a request's time, for each own request that a gate has not answered
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class _GateLoad:
+    """What this host knows of the load of one gate."""
+
+    wait: float = 0.0
+    told_at: float = 0.0
+    unanswered: int = 0
+    servers: int = 1
+
+
+class FleetFinder(TargetFinder):
+    """Finds targets in the view and among the live hosts.
+
+    Args:
+        clock: Steady clock, in seconds.
+        random: Source of the choice among equal gates.
+        host: Name of this host.
+        failure_domain: Failure domain of this host.
+        is_reachable: Whether a stream to a host is open and answers.
+        blocks: Keys that are between two owners.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        random: Random,
+        host: HostId,
+        failure_domain: FailureDomain,
+        is_reachable: Callable[[HostId], bool],
+        blocks: KeyBlocks,
+    ):
+        super().__init__(clock=clock, random=random)
+        self.patience = PATIENCE
+        self._host = host
+        self._domain = failure_domain
+        self._is_reachable = is_reachable
+        self._blocks = blocks
+        self._fleet = FleetView()
+        self._closings = ClosingTimes()
+        self._pool_gates: dict[PoolId, list[GateId]] = {}
+        self._hosts: list[LiveHost] = []
+        self._ranks: dict[str, list[HostId]] = {}
+        self._loads: dict[str, _GateLoad] = {}
+
+    def update_fleet(self, view: FleetView) -> None:
+        """Takes a changed view."""
+        self._fleet = view
+        self._closings.update(self._clock(), view)
+        self._pool_gates = {}
+        for gate, servers in list_gates(view).items():
+            load = self._loads.setdefault(gate.name, _GateLoad())
+            load.servers = len(servers)
+            if gate.pool not in view.tables:
+                self._pool_gates.setdefault(gate.pool, []).append(gate)
+        self._wake_waiting()
+
+    def update_hosts(self, hosts: list[LiveHost]) -> None:
+        """Takes the live entries."""
+        self._hosts = hosts
+        self._ranks = {}
+        self._wake_waiting()
+
+    def find(
+        self, admitted: AdmittedRequest, exclude: Collection[ServerId] = ()
+    ) -> Target | None:
+        """Returns the target of a request, or None if there is none now."""
+        if admitted.routing_key:
+            return self._find_holder(admitted)
+        return self._find_gate(admitted, exclude)
+
+    def start(self, admitted: AdmittedRequest, target: Target, request_id: str) -> None:
+        """Counts an attempt."""
+        self._get_load(target.server).unanswered += 1
+
+    def finish(
+        self,
+        admitted: AdmittedRequest,
+        target: Target,
+        request_id: str,
+        outcome: Outcome,
+    ) -> None:
+        """Counts the end of an attempt."""
+        load = self._get_load(target.server)
+        load.unanswered = max(0, load.unanswered - 1)
+        if outcome is Outcome.SHED and not admitted.routing_key:
+            load.wait = max(load.wait, WAIT_MEMORY)
+            load.told_at = self._clock()
+
+    def note_wait(self, target: Target, wait: float) -> None:
+        """Takes what a gate said of its load."""
+        load = self._get_load(target.server)
+        load.wait = wait
+        load.told_at = self._clock()
+
+    def _find_holder(self, admitted: AdmittedRequest) -> Target | None:
+        pool = PoolId(admitted.route.pool)
+        table = self._fleet.tables.get(pool)
+        if table is None:
+            return None
+        key = int(admitted.routing_key)
+        row = table.find(key)
+        now = self._clock()
+        record = self._fleet.servers.get(row.owner)
+        if record is None or record.born != row.born:
+            return None
+        if now >= self._closings.find(row.owner):
+            return None
+        if self._blocks.find(now, pool, key, row.epoch):
+            return None
+        gate = name_gate(record, keyed=True)
+        return Target(
+            host=self._choose_host(gate),
+            server=ServerId(gate.name),
+            gate_epoch=Epoch(0),
+            revision=self._fleet.revision,
+            slice=key,
+            slice_epoch=row.epoch,
+            pool=pool,
+        )
+
+    def _find_gate(
+        self, admitted: AdmittedRequest, exclude: Collection[ServerId]
+    ) -> Target | None:
+        pool = PoolId(admitted.route.pool)
+        gates = self._pool_gates.get(pool, [])
+        fresh = [gate for gate in gates if gate.name not in exclude]
+        best = None
+        for gate in fresh or gates:
+            cost = self._rank_gate(gate)
+            if best is None or cost < best[0]:
+                best = (cost, gate)
+        if best is None:
+            return None
+        return Target(
+            host=self._choose_host(best[1]),
+            server=ServerId(best[1].name),
+            gate_epoch=Epoch(0),
+            revision=self._fleet.revision,
+            pool=pool,
+        )
+
+    def _rank_gate(self, gate: GateId) -> float:
+        load = self._get_load(gate.name)
+        age = self._clock() - load.told_at
+        wait = load.wait * max(0.0, 1 - age / WAIT_MEMORY)
+        foreign = FOREIGN_COST if gate.failure_domain != self._domain else 0.0
+        own = OWN_WEIGHT * load.wait * load.unanswered / (2 * load.servers)
+        return wait + own + foreign
+
+    def _choose_host(self, gate: GateId) -> HostId:
+        ranked = self._ranks.get(gate.name)
+        if ranked is None:
+            ranked = [host.host for host in rank_hosts(gate, self._hosts)]
+            self._ranks[gate.name] = ranked
+        for host in ranked:
+            if host == self._host or self._is_reachable(host):
+                return host
+        return self._host
+
+    def _get_load(self, name: str) -> _GateLoad:
+        return self._loads.setdefault(name, _GateLoad())
--- a/src/monsoonlug/front.py
+++ b/src/monsoonlug/front.py
@@ -30,6 +30,7 @@
 from monsoonlug.hotspots import HotSpots
 from monsoonlug.ids import HostId, Ran, RequestId
 from monsoonlug.logs import get_logger
+from monsoonlug.refusals import build_refusal, drop_body
 from monsoonlug.slices import find_slice, hash_key
 from monsoonlug.tokens import STALE_RETRY_AFTER, TokenQueue
 from monsoonlug.uplink import Uplink
@@ -207,22 +208,12 @@
     ) -> web.Response:
         self._metrics.incr(f"refused.{error.code}")
         logger.bind(request=request_id).debug("Refused: {}.", error.code)
-        document = {
-            "code": error.code,
-            "message": str(error),
-            "request": request_id,
-            "ran": error.ran.value,
-        }
-        response = web.json_response(document, status=error.status)
-        response.headers["X-Request-Id"] = request_id
-        response.headers["X-Ran"] = error.ran.value.replace(" ", "-")
+        response = build_refusal(request_id, error)
         if error.retry_after is not None:
             seconds = max(LEAST_RETRY_AFTER, math.ceil(error.retry_after))
             response.headers["Retry-After"] = str(seconds)
         self._end_connection(response)
-        if request.body_exists and not request.content.is_eof():
-            # What is left of the body must not be read as the next request.
-            response.force_close()
+        drop_body(request, response)
         return response
 
 
--- /dev/null
+++ b/src/monsoonlug/gatehost.py
@@ -0,0 +1,465 @@
+"""The gates that this host serves, and the requests that they send.
+
+A gate is a choice by rendezvous hashing among the live entries, so all entries that
+know the same live hosts agree on it without asking. It bounds load only: the servers
+themselves check who may hold a key. Two hosts that both serve as the gate of a server
+for a moment stay below what the server can queue.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from monsoonlug.backend import BackendProtocol, BackendRequest
+from monsoonlug.exceptions import (
+    BackendFenced,
+    BackendRefused,
+    DeadlineExceeded,
+    InternalError,
+    KeyRefused,
+    MonsoonlugError,
+    NotGate,
+    OutcomeUnknown,
+    ProcessGone,
+    StreamClosed,
+)
+from monsoonlug.exchanges import PART_SIZE, Peer
+from monsoonlug.fairness import QueuedRequest
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import ServerPut
+from monsoonlug.gate import Outcome
+from monsoonlug.ids import (
+    Epoch,
+    FailureDomain,
+    HostId,
+    PoolId,
+    RequestClass,
+    RequestId,
+    ServerId,
+    Slice,
+)
+from monsoonlug.items import ItemKind, PoolItem
+from monsoonlug.jobs import POOLED, Job
+from monsoonlug.logs import get_logger
+from monsoonlug.messages import Cancel, Credit, RequestBody, RequestHead
+from monsoonlug.serverqueue import ServerQueue, WorkModel
+
+GROUP_SIZE = 8  # servers of a pool without keys that share one gate
+LEAVING_GRACE = 1.2  # seconds; a leaving server must get nothing 2 s after its ack
+DOMAIN_GRACE = 3.5  # seconds; a domain out of service must get nothing after 5 s
+STOP_TIMEOUT = 10.0  # seconds; more than a stop may take
+
+logger = get_logger("gate")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class GateId:
+    """One gate: a server with keys, or some servers of a pool in a failure domain."""
+
+    pool: PoolId
+    name: str
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LiveHost:
+    """An entry that answers control."""
+
+    host: HostId
+    failure_domain: FailureDomain
+    stream: str
+
+
+def name_gate(record: ServerPut, *, keyed: bool, groups: int = 1) -> GateId:
+    """Returns the gate of a server.
+
+    Args:
+        record: The server.
+        keyed: Whether the servers of its pool own keys.
+        groups: Number of gates of the pool in the server's failure domain.
+    """
+    name = str(record.server)
+    if not keyed:
+        number = xxhash.xxh32_intdigest(record.server.encode()) % groups
+        name = f"{record.pool}/{record.failure_domain}/{number}"
+    return GateId(pool=record.pool, name=name, failure_domain=record.failure_domain)
+
+
+def rank_hosts(gate: GateId, hosts: list[LiveHost]) -> Iterator[LiveHost]:
+    """Yields the hosts in the order in which they may serve a gate.
+
+    Hosts of the gate's own failure domain come first, as its servers' answers then
+    cross a border between domains only once.
+    """
+
+    def rank(host: LiveHost) -> tuple[bool, int]:
+        is_foreign = host.failure_domain != gate.failure_domain
+        return is_foreign, -xxhash.xxh64_intdigest(f"{gate.name}|{host.host}".encode())
+
+    return iter(sorted(hosts, key=rank))
+
+
+def list_gates(view: FleetView) -> dict[GateId, list[ServerPut]]:
+    """Returns all gates with their servers.
+
+    A server that leaves keeps its gate while it still owns keys; other servers that are
+    out of service have none.
+    """
+    keyed = {item.name: item.keyed for item in view.items.iterate(ItemKind.POOL)}
+    counts: dict[tuple[PoolId, FailureDomain], int] = {}
+    for record in view.servers.values():
+        place = (record.pool, record.failure_domain)
+        counts[place] = counts.get(place, 0) + 1
+    gates: dict[GateId, list[ServerPut]] = {}
+    for record in view.servers.values():
+        if record.pool not in keyed:
+            continue
+        if not keyed[record.pool] and not view.is_in_service(record):
+            continue
+        count = counts[record.pool, record.failure_domain]
+        groups = -(-count // GROUP_SIZE)
+        gate = name_gate(record, keyed=keyed[record.pool], groups=groups)
+        gates.setdefault(gate, []).append(record)
+    return gates
+
+
+class ClosingTimes:
+    """Times from which on servers that are taken out of service get nothing more."""
+
+    def __init__(self):
+        self._times: dict[ServerId, float] = {}
+
+    def update(self, now: float, view: FleetView) -> None:
+        """Takes a changed view."""
+        times = {}
+        for record in view.servers.values():
+            if view.is_in_service(record):
+                continue
+            grace = LEAVING_GRACE if record.draining else DOMAIN_GRACE
+            known = self._times.get(record.server, math.inf)
+            times[record.server] = min(known, now + grace)
+        self._times = times
+
+    def find(self, server: ServerId) -> float:
+        """Returns the time at which a server is closed, or infinity."""
+        return self._times.get(server, math.inf)
+
+
+class GateHost:
+    """Serves the gates that requests of any entry name.
+
+    Args:
+        clock: Steady clock, in seconds.
+        open_backend: Returns the protocol to a server.
+        may_serve: Whether a key with this digest is still in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        open_backend: Callable[[ServerPut, PoolItem], BackendProtocol],
+        may_serve: Callable[[str], bool],
+    ):
+        self._clock = clock
+        self._open_backend = open_backend
+        self._may_serve = may_serve
+        self._view = FleetView()
+        self._gates: dict[str, tuple[GateId, list[ServerPut]]] = {}
+        self._queues: dict[str, ServerQueue] = {}
+        self._models: dict[PoolId, WorkModel] = {}
+        self._backends: dict[ServerId, tuple[ServerPut, BackendProtocol]] = {}
+        self._cold_until: dict[ServerId, float] = {}
+        self._closings = ClosingTimes()
+        self._jobs: dict[Peer, dict[int, Job]] = {}
+        self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._closing: set[asyncio.Task] = set()
+        self.unknown_frames = 0
+
+    @property
+    def running(self) -> int:
+        """Requests that were sent and have not ended."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait at all gates."""
+        return sum(queue.queued for queue in self._queues.values())
+
+    def update(self, view: FleetView) -> None:
+        """Takes a changed view."""
+        self._view = view
+        self._closings.update(self._clock(), view)
+        self._gates = {
+            gate.name: (gate, servers) for gate, servers in list_gates(view).items()
+        }
+        for name in list(self._queues):
+            self._fit_queue(name)
+        for server, (record, backend) in list(self._backends.items()):
+            held = view.servers.get(server)
+            if held is not None and held.born == record.born:
+                continue
+            del self._backends[server]
+            task = asyncio.create_task(self._close_backend(server, backend))
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+        self.pump()
+
+    def set_cold(self, server: ServerId, seconds: float) -> None:
+        """Takes for how many more seconds a server is cold."""
+        now = self._clock()
+        self._cold_until[server] = now + seconds
+        for queue in self._queues.values():
+            queue.set_cold(now, server, seconds)
+        self.pump()
+
+    def measure(self) -> list[list]:
+        """Returns rows of server, slowness and use of the servers served here."""
+        now = self._clock()
+        rows = []
+        for queue in self._queues.values():
+            for server, slowness, use in queue.measure(now):
+                if use > 0:
+                    rows.append([server, round(slowness, 2), round(use, 2)])
+        return rows
+
+    # Frames of request streams.
+
+    def receive(self, peer: Peer, message: object) -> None:
+        """Takes a frame of a request stream.
+
+        Raises:
+            DamagedFrame: If the peer does not keep to the protocol.
+        """
+        if isinstance(message, RequestHead):
+            self._open(peer, message)
+            return
+        job = self._jobs.get(peer, {}).get(getattr(message, "stream", None))
+        if job is None or job.ended:
+            self.unknown_frames += 1
+            return
+        match message:
+            case RequestBody():
+                job.feed(message)
+            case Credit():
+                job.add_credit(message.size)
+            case Cancel():
+                self._cancel(job)
+            case _:
+                self.unknown_frames += 1
+
+    def lose_peer(self, peer: Peer) -> None:
+        """Takes the loss of a peer: its callers no longer wait."""
+        for job in list(self._jobs.pop(peer, {}).values()):
+            if not job.ended:
+                self._cancel(job)
+
+    async def stop(self) -> None:
+        """Waits until all that runs has ended and closes the connections."""
+        tasks = [task for _, task in self._running.values()]
+        if tasks:
+            await asyncio.wait(tasks, timeout=STOP_TIMEOUT)
+        for _, backend in self._backends.values():
+            await backend.close()
+
+    def pump(self) -> None:
+        """Sends what may be sent now and refuses what is late."""
+        now = self._clock()
+        wake = None
+        for queue in self._queues.values():
+            for request, server in queue.next(now):
+                task = asyncio.create_task(self._run(queue, request, server))
+                self._running[request.request_id] = (server, task)
+            for request, refusal in queue.expire(now):
+                request.payload.fail(refusal.build_error())
+            found = queue.wake_at(now)
+            if found is not None:
+                wake = found if wake is None else min(wake, found)
+        self._schedule(now, wake)
+
+    def _schedule(self, now: float, wake: float | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if wake is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(0.001, wake - now), self.pump)
+
+    def _open(self, peer: Peer, head: RequestHead) -> None:
+        now = self._clock()
+        job = Job(head=head, peer=peer, deadline=now + head.remaining)
+        jobs = self._jobs.setdefault(peer, {})
+        for stream in [number for number, item in jobs.items() if item.ended]:
+            del jobs[stream]
+        jobs[head.stream] = job
+        if now >= job.deadline:
+            job.fail(DeadlineExceeded())
+            return
+        # The view of this host may be newer than the one that admitted the request.
+        if head.key_digest and not self._may_serve(head.key_digest):
+            job.fail(KeyRefused())
+            return
+        queue = self._find_queue(head.server)
+        if queue is None:
+            job.fail(NotGate())
+            return
+        request = QueuedRequest(
+            request_id=RequestId(head.request),
+            workspace=head.workspace,
+            request_class=RequestClass(head.request_class),
+            deadline=job.deadline,
+            slice=Slice(head.slice),
+            key_digest=head.key_digest,
+            payload=job,
+            objective=now + head.objective,
+            route=head.route,
+        )
+        bound = ServerId(head.server) if head.slice != POOLED else None
+        refusal = queue.enqueue(now, request, bound)
+        if refusal is not None:
+            job.fail(refusal.build_error())
+            return
+        self.pump()
+
+    def _find_queue(self, name: str) -> ServerQueue | None:
+        queue = self._queues.get(name)
+        if queue is not None:
+            return queue
+        if name not in self._gates:
+            return None
+        gate, _ = self._gates[name]
+        model = self._models.setdefault(gate.pool, WorkModel())
+        self._queues[name] = ServerQueue(model=model)
+        self._fit_queue(name)
+        logger.info("Now serves as the gate of {}.", name)
+        return self._queues[name]
+
+    def _fit_queue(self, name: str) -> None:
+        """Makes the servers of a gate those that the view names."""
+        queue = self._queues[name]
+        now = self._clock()
+        known = self._gates.get(name)
+        servers = known[1] if known else []
+        wanted = {record.server for record in servers}
+        for server in queue.servers:
+            if server not in wanted:
+                queue.drop_server(server)
+        for record in servers:
+            pool = self._view.items.find(ItemKind.POOL, record.pool)
+            queue.put_server(
+                record.server, slots=record.slots, cold_rate=pool.cold_rate
+            )
+            queue.close_server(record.server, self._closings.find(record.server))
+            cold = self._cold_until.get(record.server, now) - now
+            if cold > 0:
+                queue.set_cold(now, record.server, cold)
+
+    def _cancel(self, job: Job) -> None:
+        request_id = RequestId(job.head.request)
+        job.close()
+        queue = self._queues.get(job.head.server)
+        if queue is not None and queue.cancel(request_id):
+            return
+        running = self._running.get(request_id)
+        if running is None:
+            return
+        held = self._backends.get(running[0])
+        if held is not None:
+            held[1].cancel(request_id)
+
+    async def _run(
+        self, queue: ServerQueue, request: QueuedRequest, server: ServerId
+    ) -> None:
+        job: Job = request.payload
+        outcome = Outcome.LOST
+        try:
+            await self._exchange(queue, job, server)
+            outcome = Outcome.ANSWERED
+        except (BackendRefused, BackendFenced, ProcessGone) as error:
+            outcome = Outcome.SHED
+            self._log_failure(job, server, error)
+            job.fail(error)
+        except StreamClosed:
+            outcome = Outcome.ABANDONED
+            job.close()
+        except MonsoonlugError as error:
+            if isinstance(error, OutcomeUnknown):
+                outcome = Outcome.ABANDONED
+            self._log_failure(job, server, error)
+            job.fail(error)
+        except Exception:
+            logger.bind(request=job.head.request).exception("Attempt failed.")
+            job.fail(InternalError())
+        finally:
+            job.close()
+            del self._running[request.request_id]
+            queue.finished(self._clock(), request.request_id, server, outcome)
+            self.pump()
+
+    async def _exchange(self, queue: ServerQueue, job: Job, server: ServerId) -> None:
+        head = job.head
+        backend = self._get_backend(server)
+        is_keyed = head.slice != POOLED
+        message = BackendRequest(
+            request=RequestId(head.request),
+            workspace=head.workspace or None,
+            method=head.method,
+            target=head.target,
+            headers=[(name, value) for name, value in head.headers],
+            slice=Slice(head.slice) if is_keyed else None,
+            slice_epoch=Epoch(head.slice_epoch),
+            gate_epoch=Epoch(head.gate_epoch),
+            idempotency_key=head.idempotency_key,
+            deadline=job.deadline,
+            idempotent=head.idempotent,
+        )
+        body = job.iterate_body() if head.has_body else None
+        answer = await backend.send(message, body)
+        try:
+            body = answer.read_whole(PART_SIZE)
+            now = self._clock()
+            rank = RequestClass(head.request_class)
+            wait = 0.0 if is_keyed else queue.predict(now, head.route, rank)
+            job.send_head(answer.status, answer.headers, body, wait=wait)
+            if body is not None:
+                return
+            async for part in answer.iterate():
+                await job.send_part(part)
+            await job.send_part(b"", last=True)
+        except BaseException:
+            answer.cancel()
+            raise
+
+    def _get_backend(self, server: ServerId) -> BackendProtocol:
+        held = self._backends.get(server)
+        if held is not None:
+            return held[1]
+        record = self._view.servers.get(server)
+        if record is None:
+            raise NotGate()
+        pool = self._view.items.find(ItemKind.POOL, record.pool)
+        backend = self._open_backend(record, pool)
+        self._backends[server] = (record, backend)
+        return backend
+
+    async def _close_backend(self, server: ServerId, backend: BackendProtocol) -> None:
+        # Requests that run on a server that has left still get their answers.
+        running = [task for name, task in self._running.values() if name == server]
+        if running:
+            await asyncio.wait(running, timeout=STOP_TIMEOUT)
+        await backend.close()
+
+    def _log_failure(self, job: Job, server: ServerId, error: MonsoonlugError) -> None:
+        log = logger.bind(request=job.head.request)
+        log.info(
+            "Attempt at backend server {} failed: {} ({}), {}.",
+            server,
+            error.code,
+            error,
+            error.ran.value,
+        )
--- a/src/monsoonlug/group.py
+++ b/src/monsoonlug/group.py
@@ -1,10 +1,11 @@
 """Drives one control replica: timers, messages, commands and compaction."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+from monsoonlug import messages
 from monsoonlug.actions import (
     Action,
     Apply,
@@ -16,9 +17,7 @@
     RoundConfirmed,
     Send,
 )
-from monsoonlug.commands import Answer, Command, decode_command, encode_command
 from monsoonlug.consensus import Replica
-from monsoonlug.deltas import Delta
 from monsoonlug.exceptions import (
     ControlUnreachable,
     MonsoonlugError,
@@ -27,6 +26,8 @@
 from monsoonlug.ids import ReplicaId
 from monsoonlug.links import Link
 from monsoonlug.logs import get_logger
+from monsoonlug.membership import Members
+from monsoonlug.replicated import ReplicatedState
 from monsoonlug.state import ControlState
 
 COMPACT_AFTER = 1_000  # log entries since the last snapshot
@@ -52,21 +53,27 @@
         on_restored: Called when a snapshot replaced the state.
         on_role: Called when the role, the term or the leader changed.
         on_round: Called with each confirmed round.
+        on_members: Called when the members changed.
+        state_type: Class of the replicated state.
     """
 
     def __init__(
         self,
         *,
         replica: Replica,
-        links: dict[ReplicaId, Link],
+        links: Mapping[ReplicaId, Link],
         clock: Callable[[], float],
-        on_applied: Callable[[Command, Delta | None], None],
+        on_applied: Callable[[object, object | None], None],
         on_restored: Callable[[], None],
         on_role: Callable[[RoleChanged], None],
         on_round: Callable[[RoundConfirmed], None],
+        on_members: Callable[[Members], None] | None = None,
+        state_type: type[ReplicatedState] = ControlState,
     ):
         self.replica = replica
-        self.state = ControlState()
+        self.state = state_type()
+        self._state_type = state_type
+        self._on_members = on_members
         self._links = links
         self._clock = clock
         self._on_applied = on_applied
@@ -112,7 +119,7 @@
                 self.replica.receive(self._clock(), ReplicaId(sender), message)
             )
 
-    def propose(self, command: Command) -> asyncio.Future[Answer]:
+    def propose(self, command: object) -> asyncio.Future:
         """Proposes a command; the future gets the answer once it is committed.
 
         Raises:
@@ -121,12 +128,12 @@
         answer = asyncio.get_running_loop().create_future()
         with self._noting_failure():
             now = self._clock()
-            index, actions = self.replica.propose(now, encode_command(command))
+            index, actions = self.replica.propose(now, messages.encode(command))
             self._proposals[index] = _Proposal(term=self.replica.term, answer=answer)
             self._perform(actions)
         return answer
 
-    def propose_all(self, commands: list[Command]) -> None:
+    def propose_all(self, commands: list) -> None:
         """Proposes commands whose answers nobody waits for, with one sync for all.
 
         Raises:
@@ -136,7 +143,7 @@
             actions: list[Action] = []
             for command in commands:
                 now = self._clock()
-                packed = encode_command(command)
+                packed = messages.encode(command)
                 actions += self.replica.propose(now, packed, flush=False)[1]
             self._perform(actions + self.replica.tick(self._clock()))
 
@@ -193,6 +200,8 @@
                     self._change_role(action)
                 case MembersChanged():
                     logger.info("Members are now {}.", _list_members(action))
+                    if self._on_members is not None:
+                        self._on_members(action.members)
                 case Refused():
                     logger.error(
                         "The group refuses this data folder (identity {}). "
@@ -206,7 +215,7 @@
             link.send(action.message)
 
     def _apply(self, action: Apply) -> None:
-        command = decode_command(action.command)
+        command = self.state.decode_command(action.command)
         answer, delta = self.state.apply(action.index, command)
         proposal = self._proposals.pop(action.index, None)
         if proposal is not None and not proposal.answer.done():
@@ -220,7 +229,7 @@
             self.replica.compact(action.index, self.state.pack())
 
     def _restore(self, action: Restore) -> None:
-        self.state = ControlState.unpack(action.state)
+        self.state = self._state_type.unpack(action.state)
         self._compacted = action.index
         self._on_restored()
 
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import math
+import re
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -29,13 +32,17 @@
     ProcessGone,
 )
 from monsoonlug.ids import RequestId, ServerId
+from monsoonlug.streams import limit_silence
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CONNECT_SHARE = 0.9  # of the remaining time, so that a timeout still proves "not sent"
 KEEPALIVE_TIMEOUT = 60.0  # seconds
+KEEPALIVE_SHARE = 0.6  # of the idle time that the server names
+SILENT_TIMEOUT = 2_000  # milliseconds for which sent data may stay unacknowledged
 MAX_PART = 65_536  # bytes of a body read at once
 MAX_REFUSAL = 4_096  # bytes of a refusal's body read to keep the connection
 
+_KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
 _BODILESS_STATUSES = frozenset({204, 304})
 _SKIPPED_DEFAULTS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -56,14 +63,22 @@
 class HttpBackend(BackendProtocol):
     """Sends requests to one backend server over HTTP/1.1.
 
+    A subclass for another dialect overrides the names of the headers, what is sent with
+    a request, and how an answer says that the request did not run.
+
     Args:
         server: Name of the server, for messages.
         address: IP address and port of the server.
         connections: Connections that may be open at the same time.
         may_send: Asked right before the first byte of each request is written.
         clock: Monotonic clock of the deadlines, in seconds.
+        reuse_limit: Seconds for which a connection may have been idle to carry a
+            request that must not be repeated. The server may just be closing it, and
+            then nobody knows whether the request ran.
     """
 
+    request_id_header = "X-Request-Id"
+
     def __init__(
         self,
         *,
@@ -72,12 +87,15 @@
         connections: int,
         may_send: Callable[[], bool] = _always,
         clock: Callable[[], float] = time.monotonic,
+        reuse_limit: float = KEEPALIVE_TIMEOUT,
     ):
+        self._reuse_limit = reuse_limit
         self.server = server
         self.address = address
         self.mismatched = 0
         self._clock = clock
         self._calls: dict[RequestId, _Call] = {}
+        self._idle_limit = KEEPALIVE_TIMEOUT
         connector = _CheckedConnector(
             may_send=may_send,
             limit=connections,
@@ -85,8 +103,10 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT,
             use_dns_cache=False,
         )
+        self._connector = connector
         self._session = aiohttp.ClientSession(
             connector=connector,
+            response_class=self._build_response_class(),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_SKIPPED_DEFAULTS,
@@ -116,12 +136,15 @@
         if remaining <= 0:
             raise DeadlineExceeded()
         connect = min(CONNECT_TIMEOUT, CONNECT_SHARE * remaining)
+        self._connector.set_idle_limit(
+            self._idle_limit if request.idempotent else self._reuse_limit
+        )
         try:
             async with asyncio.timeout(remaining):
                 call.response = await self._session.request(
                     request.method,
                     URL(f"http://{self.address}{request.target}", encoded=True),
-                    headers=_build_headers(request, remaining),
+                    headers=self.build_headers(request, remaining),
                     data=None if body is None else _check_body(request, body),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(total=None, connect=connect),
@@ -136,19 +159,54 @@
         call.task = None
         return _HttpAnswer(backend=self, request=request, call=call)
 
+    def build_headers(self, request: BackendRequest, remaining: float) -> CIMultiDict:
+        """Returns the headers to send with a request that has so many seconds left."""
+        return _build_headers(request, remaining)
+
+    def find_request_id(self, request: BackendRequest) -> str:
+        """Returns the id that the answer to a request must echo, if it echoes any."""
+        return request.request
+
+    async def check_refusal(self, response: aiohttp.ClientResponse) -> None:
+        """Checks whether the server says that it did not run the request.
+
+        Raises:
+            BackendRefused: If the server says so.
+            BackendFenced: If the server refused the fencing token.
+        """
+        if response.status == 503 and response.headers.get("X-Not-Run") == "1":
+            await finish_refusal(response)
+            raise BackendRefused(retry_after=_read_retry_after(response))
+        if response.status == 409 and response.headers.get("X-Fenced") == "1":
+            await finish_refusal(response)
+            raise BackendFenced()
+
+    def note_answer(self, response: aiohttp.ClientResponse) -> None:
+        """Takes what the head of an answer says about the server."""
+        match = _KEEP_ALIVE.search(response.headers.get("Keep-Alive", ""))
+        if match is not None:
+            self._idle_limit = KEEPALIVE_SHARE * int(match.group(1))
+            self._reuse_limit = min(self._reuse_limit, self._idle_limit)
+
+    def _build_response_class(self) -> type[aiohttp.ClientResponse]:
+        # An answer may come twice, and the second one late, when the connection
+        # carries the next request. The id that it echoes tells it apart.
+        header = self.request_id_header
+
+        class Response(_CheckedResponse):
+            request_id_header = header
+
+        return Response
+
     async def _check_head(
         self, request: BackendRequest, response: aiohttp.ClientResponse
     ) -> None:
-        echoed = response.headers.getall("X-Request-Id", [])
-        if echoed and echoed != [request.request]:
+        self.note_answer(response)
+        echoed = response.headers.getall(self.request_id_header, [])
+        if echoed and echoed != [self.find_request_id(request)]:
             self.mismatched += 1
             raise OutcomeUnknown("the answer belongs to another request")
-        if response.status == 503 and response.headers.get("X-Not-Run") == "1":
-            await _finish_refusal(response)
-            raise BackendRefused(retry_after=_read_retry_after(response))
-        if response.status == 409 and response.headers.get("X-Fenced") == "1":
-            await _finish_refusal(response)
-            raise BackendFenced()
+        await self.check_refusal(response)
         if response.status < 200:
             raise OutcomeUnknown(f"the answer has the status {response.status}")
         if request.method == "HEAD" or response.status in _BODILESS_STATUSES:
@@ -265,6 +323,11 @@
     def __init__(self, *, may_send: Callable[[], bool], **options):
         super().__init__(**options)
         self._may_send = may_send
+        self._idle_limit = math.inf
+
+    def set_idle_limit(self, seconds: float) -> None:
+        """Bounds how long the connection of the next request may have been idle."""
+        self._idle_limit = seconds
 
     async def connect(self, *arguments, **options):
         connection = await super().connect(*arguments, **options)
@@ -275,11 +338,56 @@
         return connection
 
     async def _get(self, key, traces):
-        while True:
-            connection = await super()._get(key, traces)
-            if connection is None or not connection.protocol.should_close:
-                return connection
-            connection.close()
+        rested = self._set_aside(key)
+        try:
+            while True:
+                connection = await super()._get(key, traces)
+                if connection is None or not connection.protocol.should_close:
+                    return connection
+                connection.close()
+        finally:
+            if rested:
+                self._conns[key].extendleft(reversed(rested))
+
+    def _set_aside(self, key) -> list:
+        """Takes the connections that were idle for too long out of the pool."""
+        now = time.monotonic()
+        rested = []
+        connections = self._conns.get(key)
+        while connections and now - connections[0][1] > self._idle_limit:
+            rested.append(connections.popleft())
+        if connections is not None and not connections:
+            del self._conns[key]
+        return rested
+
+    async def _create_connection(self, *arguments, **options):
+        protocol = await super()._create_connection(*arguments, **options)
+        limit_silence(protocol.transport, milliseconds=SILENT_TIMEOUT)
+        return protocol
+
+
+class _CheckedResponse(aiohttp.ClientResponse):
+    """Skips answers that echo the id of another request."""
+
+    request_id_header = ""
+
+    async def start(self, connection):
+        sent = self.request_info.headers.get(self.request_id_header)
+        protocol = connection.protocol
+        while sent is not None:
+            try:
+                message, payload = await protocol.read()
+            except HttpProcessingError as error:
+                raise aiohttp.ClientPayloadError("the answer is not HTTP") from error
+            echoed = message.headers.get(self.request_id_header)
+            if message.code < 200 or echoed is None or echoed == sent:
+                # The answer is put back for the reader of the library.
+                protocol._buffer.appendleft(((message, payload), 0))
+                break
+            protocol.force_close()
+            while not payload.at_eof():
+                await payload.readany()
+        return await super().start(connection)
 
 
 async def _translate_errors(
@@ -337,7 +445,8 @@
         raise BadRequest("the body is shorter than its content-length")
 
 
-async def _finish_refusal(response: aiohttp.ClientResponse) -> None:
+async def finish_refusal(response: aiohttp.ClientResponse) -> None:
+    """Reads the rest of a refusal, so that its connection can be used again."""
     with contextlib.suppress(aiohttp.ClientError, OSError):
         await response.content.read(MAX_REFUSAL)
     if response.content.at_eof():
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -84,7 +84,12 @@
             self.peer.send(Credit(stream=self.head.stream, size=len(part.data)))
 
     def send_head(
-        self, status: int, headers: list[tuple[str, str]], body: bytes | None = None
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes | None = None,
+        *,
+        wait: float = 0.0,
     ) -> None:
         """Sends the answer's status and headers.
 
@@ -93,6 +98,7 @@
             headers: Names and values.
             body: The whole body, of at most `PART_SIZE` bytes, or None if `send_part`
                 sends it. The window of a new answer always has room for it.
+            wait: Seconds until a new request would be answered.
 
         Raises:
             StreamClosed: If the caller went away or its host cannot be reached.
@@ -106,6 +112,7 @@
             headers=headers,
             data=body or b"",
             last=body is not None,
+            wait=wait,
         )
         self.peer.send(message)
 
--- a/src/monsoonlug/journal.py
+++ b/src/monsoonlug/journal.py
@@ -171,6 +171,8 @@
 
     Args:
         folder: The data folder; created if it does not exist.
+        detects_copies: Whether a file with another inode number than it was created
+            with counts as copied. Some disks number their files anew at each start.
 
     Raises:
         FolderLocked: If another process uses the folder.
@@ -179,8 +181,9 @@
         SyncFailed: If the folder cannot be written.
     """
 
-    def __init__(self, *, folder: Path):
+    def __init__(self, *, folder: Path, detects_copies: bool = True):
         self._folder = folder
+        self._detects_copies = detects_copies
         self._failed = False
         self._records: list[list] = []
         self._base_index = 0
@@ -349,7 +352,7 @@
         version, identity, inode, *rows = msgpack.unpackb(payloads[0])
         if version != FORMAT_VERSION:
             raise JournalDamaged(f"{path}: format version {version} is not known")
-        if inode != path.stat().st_ino:
+        if self._detects_copies and inode != path.stat().st_ino:
             raise FolderCopied(
                 f"{path}: the file was copied and may be older than what this replica "
                 "acknowledged; start with an empty data folder and add the replica as "
--- a/src/monsoonlug/leadership.py
+++ b/src/monsoonlug/leadership.py
@@ -12,9 +12,9 @@
     SnapshotAnswer,
     SnapshotChunk,
 )
+from monsoonlug.timing import DEFAULT_TIMES, ConsensusTimes
 
-HEARTBEAT_INTERVAL = 0.050  # seconds
-QUORUM_TIMEOUT = 0.300  # seconds, the longest election timeout
+QUORUM_TIMEOUT = DEFAULT_TIMES.quorum  # seconds, in a group with default times
 CHUNK_SIZE = 262_144  # bytes
 MAX_IN_FLIGHT = 2_048  # entries sent to a follower and not yet acknowledged
 
@@ -67,9 +67,19 @@
         term: Term of the leader.
         log: Log of the leader.
         now: Time of the election in seconds.
+        times: Timing of the group.
     """
 
-    def __init__(self, *, replica_id: ReplicaId, term: int, log: EntryLog, now: float):
+    def __init__(
+        self,
+        *,
+        replica_id: ReplicaId,
+        term: int,
+        log: EntryLog,
+        now: float,
+        times: ConsensusTimes = DEFAULT_TIMES,
+    ):
+        self._times = times
         self._replica_id = replica_id
         self._term = term
         self._log = log
@@ -111,7 +121,7 @@
 
     def broadcast(self, now: float, commit: int) -> list[Send]:
         """Sends a heartbeat, with entries where they are due, to every follower."""
-        self.heartbeat_at = now + HEARTBEAT_INTERVAL
+        self.heartbeat_at = now + self._times.heartbeat
         return [self._send_append(name, commit) for name in self._progress]
 
     def send_pending(self, commit: int) -> list[Send]:
@@ -144,7 +154,7 @@
         )
         if progress.next > self._log.base_index:
             return [self._send_append(sender, commit)]
-        if now - progress.chunk_sent_at < HEARTBEAT_INTERVAL:
+        if now - progress.chunk_sent_at < self._times.heartbeat:
             return []
         return [self._send_chunk(now, sender)]
 
@@ -184,7 +194,7 @@
         progress = self._progress.get(replica_id)
         if progress is None or progress.has_regressed:
             return False
-        return progress.heard_at >= now - QUORUM_TIMEOUT
+        return progress.heard_at >= now - self._times.quorum
 
     def has_quorum(self, now: float) -> bool:
         """Whether a majority of the voters answered within the quorum timeout."""
--- a/src/monsoonlug/messages.py
+++ b/src/monsoonlug/messages.py
@@ -319,6 +319,9 @@
         key_hash: Hash of the routing key if the key has an override.
         key_digest: Digest of the workspace key, or empty on an open route.
         remaining: Seconds left until the request's deadline.
+        pool: Pool of the request if its gate serves announced servers, or empty.
+        objective: Seconds left until an answer is late.
+        idempotent: Whether the request may run more than once.
     """
 
     stream: int
@@ -339,6 +342,9 @@
     headers: list
     idempotency_key: str
     has_body: bool
+    pool: str = ""
+    objective: float = 0.0
+    idempotent: bool = False
 
 
 @register(31)
@@ -359,6 +365,7 @@
     Attributes:
         data: The whole body if `last`, otherwise empty.
         last: Whether the answer is whole; otherwise its body follows.
+        wait: Seconds until a new request would be answered by the same gate.
     """
 
     stream: int
@@ -367,6 +374,7 @@
     headers: list
     data: bytes
     last: bool
+    wait: float = 0.0
 
 
 @register(33)
--- /dev/null
+++ b/src/monsoonlug/platform/documents.py
@@ -0,0 +1,265 @@
+"""Translates the bodies of the platform's calls into the product's types."""
+
+import json
+
+from monsoonlug.catalogue import digest_key
+from monsoonlug.exceptions import BadRequest
+from monsoonlug.ids import FailureDomain, PoolId, RouteId, ServerId, WorkspaceId
+from monsoonlug.items import (
+    Item,
+    ItemKind,
+    ItemRemoved,
+    LimitsItem,
+    PoolItem,
+    RouteItem,
+    WorkspaceItem,
+)
+from monsoonlug.keyranges import LAST_KEY
+from monsoonlug.platform.fields import (
+    format_seconds,
+    read_count,
+    read_field,
+    read_object,
+    read_seconds,
+    read_text,
+    read_version,
+)
+from monsoonlug.registrar import HoldAnswer, ServerBeat
+
+_KINDS = {
+    "routes": ItemKind.ROUTE,
+    "services": ItemKind.POOL,
+    "tenants": ItemKind.WORKSPACE,
+    "limits": ItemKind.LIMITS,
+}
+_TYPES = {"safe": True, "unsafe": False}
+_STATES = {"ready": False, "draining": True}
+
+
+def read_beat(server: str, body: bytes) -> ServerBeat:
+    """Reads a heartbeat of a backend server.
+
+    Raises:
+        BadRequest: If a field is missing, of another type or not known.
+    """
+    document = read_object(body)
+    state = read_text(document, "state")
+    if state not in _STATES:
+        raise BadRequest("the state is not known")
+    address = read_text(document, "address")
+    _check_address(address)
+    return ServerBeat(
+        server=ServerId(server),
+        born=_read_born(document),
+        sequence=read_count(document, "sequence"),
+        pool=PoolId(read_text(document, "service")),
+        address=address,
+        failure_domain=FailureDomain(read_text(document, "zone")),
+        slots=read_count(document, "capacity", least=1),
+        draining=_STATES[state],
+        cold_seconds=_read_cold(document),
+        held=_read_held(document),
+        freed=_read_freed(document),
+    )
+
+
+def build_beat_answer(answer: HoldAnswer | None, url: str) -> bytes:
+    """Returns the body of the answer to a heartbeat."""
+    document: dict = {"heartbeatUrl": url} if url else {}
+    if answer is not None:
+        document["holds"] = [
+            [row.start, row.end, row.epoch, row.handover] for row in answer.ranges
+        ]
+        document["hold_time"] = format_seconds(answer.hold_time)
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def read_patch(body: bytes) -> tuple[list[Item | ItemRemoved], list[str]]:
+    """Reads a change of the configuration.
+
+    Returns:
+        The changes, and the text of each item as it came; empty for a removal.
+
+    Raises:
+        BadRequest: If it cannot be read in full.
+    """
+    document = read_object(body)
+    changes: list[Item | ItemRemoved] = []
+    sources = []
+    upsert = document.get("upsert", {})
+    if not isinstance(upsert, dict):
+        raise BadRequest("the field upsert is not an object")
+    entries = upsert.get("resources", [])
+    if not isinstance(entries, list) or set(upsert) - {"resources"}:
+        raise BadRequest("the field upsert holds more than a list of resources")
+    for entry in entries:
+        changes.append(_read_item(entry))
+        sources.append(json.dumps(entry, separators=(",", ":")))
+    removed = _read_removed(document.get("remove", {}))
+    return [*changes, *removed], [*sources, *([""] * len(removed))]
+
+
+def build_items(sources: list[tuple[ItemKind, str, str]]) -> bytes:
+    """Returns the body that holds all items in force."""
+    entries = ",".join(text for _, _, text in sources)
+    return b'{"resources":[' + entries.encode() + b"]}"
+
+
+def _read_born(document: dict) -> int:
+    # A server of the first kind does not say when it started.
+    if "born" not in document:
+        return 0
+    return read_count(document, "born")
+
+
+def _read_cold(document: dict) -> float:
+    if "warmupLeft" not in document:
+        return 0.0
+    return read_seconds(document, "warmupLeft")
+
+
+def _read_rows(document: dict, name: str, last: type) -> tuple:
+    rows = document.get(name, [])
+    if not isinstance(rows, list):
+        raise BadRequest(f"the field {name} is not a list")
+    read = []
+    for row in rows:
+        if not isinstance(row, list) or len(row) != 3:
+            raise BadRequest(f"a row of {name} has not three fields")
+        start, end, value = row
+        kinds = (type(start), type(end), type(value))
+        if kinds != (int, int, last) or not 0 <= start <= end <= LAST_KEY:
+            raise BadRequest(f"a row of {name} is not valid")
+        read.append((start, end, value))
+    return tuple(read)
+
+
+def _read_held(document: dict) -> tuple[tuple[int, int, int], ...]:
+    return _read_rows(document, "holds", int)
+
+
+def _read_freed(document: dict) -> tuple[tuple[int, int, str], ...]:
+    return _read_rows(document, "freed", str)
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise BadRequest("the address has no port")
+
+
+def _read_item(entry: object) -> Item:
+    if not isinstance(entry, dict):
+        raise BadRequest("a resource is not an object")
+    kind = _KINDS.get(read_text(entry, "resourceType"))
+    metadata = read_field(entry, "metadata", dict)
+    spec = read_field(entry, "spec", dict)
+    version = read_version(metadata)
+    match kind:
+        case ItemKind.ROUTE:
+            return _read_route(read_text(metadata, "name"), version, spec)
+        case ItemKind.POOL:
+            return _read_pool(read_text(metadata, "name"), version, spec)
+        case ItemKind.WORKSPACE:
+            return _read_workspace(read_text(metadata, "name"), version, spec)
+        case ItemKind.LIMITS:
+            return _read_limits(version, spec)
+    raise BadRequest("the type of a resource is not known")
+
+
+def _read_route(name: str, version: int, spec: dict) -> RouteItem:
+    kind = read_text(spec, "type")
+    if kind not in _TYPES:
+        raise BadRequest("the type of a route is not known")
+    prefix = read_text(spec, "pathPrefix")
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise BadRequest("a path prefix does not begin and end with a slash")
+    return RouteItem(
+        name=RouteId(name),
+        version=version,
+        host=read_text(spec, "host"),
+        prefix=prefix,
+        idempotent=_TYPES[kind],
+        timeout=read_seconds(spec, "timeout"),
+        objective=read_seconds(spec, "targetLatency"),
+        priority=read_count(spec, "priority"),
+        split=_read_split(spec),
+        max_attempts=read_count(spec, "maxAttempts", least=1),
+        open=read_field(spec, "public", bool) if "public" in spec else False,
+    )
+
+
+def _read_split(spec: dict) -> list[list]:
+    if "trafficSplit" not in spec:
+        return [[read_text(spec, "service"), 1]]
+    rows = read_field(spec, "trafficSplit", list)
+    split = []
+    for row in rows:
+        if not isinstance(row, dict):
+            raise BadRequest("a part of a split is not an object")
+        split.append([read_text(row, "service"), read_count(row, "weight")])
+    if not any(weight for _, weight in split):
+        raise BadRequest("a split has no part with a weight")
+    return split
+
+
+def _read_pool(name: str, version: int, spec: dict) -> PoolItem:
+    keyed = read_field(spec, "sharded", bool) if "sharded" in spec else False
+    rate = spec.get("warmupPerS", 0)
+    if not isinstance(rate, int | float) or isinstance(rate, bool) or rate < 0:
+        raise BadRequest("the field warmupPerS is not a rate")
+    return PoolItem(
+        name=PoolId(name),
+        version=version,
+        keyed=keyed,
+        connections=read_count(spec, "maxConnections", least=1),
+        cold_seconds=read_seconds(spec, "warmup") if "warmup" in spec else 0.0,
+        cold_rate=float(rate),
+    )
+
+
+def _read_workspace(name: str, version: int, spec: dict) -> WorkspaceItem:
+    keys = read_field(spec, "apiKeys", list)
+    if not all(isinstance(key, str) and key for key in keys):
+        raise BadRequest("the keys of a tenant are not texts")
+    rate = spec.get("ratePerS", 0)
+    if not isinstance(rate, int | float) or isinstance(rate, bool) or rate < 0:
+        raise BadRequest("the field ratePerS is not a rate")
+    return WorkspaceItem(
+        name=WorkspaceId(name),
+        version=version,
+        key_digests=[digest_key(key) for key in keys],
+        priority=read_count(spec, "priority") if "priority" in spec else -1,
+        rate=float(rate),
+        burst=read_count(spec, "burst") if "burst" in spec else 0,
+    )
+
+
+def _read_limits(version: int, spec: dict) -> LimitsItem:
+    return LimitsItem(
+        name="",
+        version=version,
+        header_bytes=read_count(spec, "maxHeaderBytes", least=1),
+        body_bytes=read_count(spec, "maxBodyBytes"),
+        header_timeout=read_seconds(spec, "headerTimeout"),
+        idle_timeout=read_seconds(spec, "idleTimeout"),
+    )
+
+
+def _read_removed(removed: object) -> list[ItemRemoved]:
+    if not isinstance(removed, dict):
+        raise BadRequest("the field remove is not an object")
+    changes = []
+    for name, rows in removed.items():
+        kind = _KINDS.get(name)
+        if kind is None or not isinstance(rows, list):
+            raise BadRequest("the field remove holds an unknown list")
+        for row in rows:
+            if not isinstance(row, dict):
+                raise BadRequest("a removal is not an object")
+            changes.append(
+                ItemRemoved(
+                    kind=kind, name=read_text(row, "name"), version=read_version(row)
+                )
+            )
+    return changes
--- /dev/null
+++ b/src/monsoonlug/publisher.py
@@ -0,0 +1,299 @@
+"""The control leader's streams to entries, and its soft state.
+
+An entry's beat is answered only after a majority has confirmed the leader since its
+receipt, so an answer proves that the entry's view was in force at that moment.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from monsoonlug import messages
+from monsoonlug.actions import Role, RoleChanged, RoundConfirmed
+from monsoonlug.exceptions import NotLeader, StreamClosed
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import (
+    EntryAnswer,
+    EntryBeat,
+    FleetDelta,
+    HostsPush,
+    RateAsk,
+    RateGrant,
+    StatePush,
+)
+from monsoonlug.group import ControlGroup
+from monsoonlug.ids import HostId, PoolId, ServerId, WorkspaceId
+from monsoonlug.items import Item, ItemKind
+from monsoonlug.logs import get_logger
+from monsoonlug.messages import Redirect
+from monsoonlug.rates import RateAuthority, RateLimit
+from monsoonlug.registrar import Registrar
+from monsoonlug.rounds import RoundQueue
+from monsoonlug.streams import MessageStream
+
+KEPT_DELTAS = 500
+MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
+VIEW_PART = 262_144  # bytes of one `StatePush`
+HOST_TIMEOUT = 1.3  # seconds without a beat after which an entry is not listed
+HOSTS_DELAY = 1.5  # seconds after an election in which entries report themselves
+
+logger = get_logger("control")
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Subscriber:
+    """One stream of an entry; `sent` is the revision that it will reach."""
+
+    stream: MessageStream
+    sent: int | None = None
+    hosts_sent: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Host:
+    beat: EntryBeat
+    heard_at: float
+
+
+class Publisher:
+    """Serves the entries as long as this replica leads.
+
+    Args:
+        clock: Steady clock, in seconds.
+        period: Seconds between two heartbeats of a backend server.
+    """
+
+    def __init__(self, *, clock: Callable[[], float], period: float):
+        self.group: ControlGroup | None = None
+        self.registrar: Registrar | None = None
+        self.rounds = RoundQueue(clock=clock, find_group=lambda: self.group)
+        self._authority: RateAuthority | None = None
+        self._clock = clock
+        self._period = period
+        self._subscribers: set[_Subscriber] = set()
+        self._deltas: deque[FleetDelta] = deque(maxlen=KEPT_DELTAS)
+        self._hosts: dict[HostId, _Host] = {}
+        self._listed: list[list[str]] = []
+        self._led_since = 0.0
+
+    @property
+    def subscribers(self) -> int:
+        """Number of entries that are connected."""
+        return len(self._subscribers)
+
+    async def serve(self, stream: MessageStream) -> None:
+        """Serves one stream of an entry until it ends."""
+        subscriber = _Subscriber(stream=stream)
+        self._subscribers.add(subscriber)
+        try:
+            async for message in stream.iterate():
+                self._receive(subscriber, message)
+        finally:
+            self._subscribers.discard(subscriber)
+
+    def decide(self) -> None:
+        """Proposes what the registrar decides now, and lists the live entries."""
+        if self.registrar is None or not self.group.is_leader:
+            return
+        now = self._clock()
+        commands = list(self.registrar.decide(now))
+        if commands:
+            try:
+                self.group.propose_all(commands)
+            except NotLeader:
+                # The replica steps down inside the call if its quorum was silent.
+                return
+        self._list_hosts(now)
+        self.send_notices()
+
+    def send_notices(self) -> None:
+        """Sends what the registrar has to tell all entries."""
+        if self.registrar is None:
+            return
+        for notice in self.registrar.take_notices():
+            for subscriber in list(self._subscribers):
+                self._send(subscriber, notice)
+
+    def change_role(self, change: RoleChanged) -> None:
+        """Takes the replica's new role."""
+        self.rounds.reset()
+        self.registrar = None
+        self._authority = None
+        self._hosts = {}
+        self._listed = []
+        for subscriber in self._subscribers:
+            subscriber.sent = None
+            subscriber.hosts_sent = False
+        if change.role is Role.LEADER:
+            self.rounds.begin_round(self._clock())
+
+    def confirm(self, confirmed: RoundConfirmed) -> None:
+        """Answers what came before a round began.
+
+        With the first round of a term, everything that was committed before is applied.
+        """
+        if self.registrar is None:
+            now = self._clock()
+            view = self._view
+            self._led_since = now
+            self.registrar = Registrar(now=now, view=view, period=self._period)
+            self._authority = RateAuthority(now=now)
+            self._authority.configure(now, list_limits(view))
+            logger.info(
+                "Leads term {} at revision {} with {} servers.",
+                self.group.replica.term,
+                view.revision,
+                len(view.servers),
+            )
+        self.rounds.confirm(confirmed.round_id)
+
+    def take_applied(self, command: object, delta: FleetDelta | None) -> None:
+        """Takes a committed command and sends its change to the entries."""
+        if delta is None:
+            return
+        self._deltas.append(delta)
+        if self.registrar is not None:
+            changes = [messages.decode(change) for change in delta.changes]
+            self.registrar.note_committed(self._clock(), changes)
+            if any(isinstance(change, Item) for change in changes):
+                self._authority.configure(self._clock(), list_limits(self._view))
+        for subscriber in list(self._subscribers):
+            if subscriber.sent == delta.base:
+                self._send(subscriber, delta)
+                subscriber.sent = delta.revision
+
+    def take_restored(self) -> None:
+        """Takes that the state was replaced as a whole."""
+        self._deltas.clear()
+        for subscriber in self._subscribers:
+            subscriber.sent = None
+
+    @property
+    def _view(self) -> FleetView:
+        return self.group.state.view
+
+    def _receive(self, subscriber: _Subscriber, message: object) -> None:
+        if not self.group.is_leader or self.registrar is None:
+            leader = self.group.replica.leader
+            self._send(subscriber, Redirect(leader=leader))
+            return
+        match message:
+            case EntryBeat():
+                self._take_beat(subscriber, message)
+            case RateAsk():
+                self._take_ask(subscriber, message)
+
+    def _take_beat(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
+        now = self._clock()
+        self._hosts[HostId(beat.host)] = _Host(beat=beat, heard_at=now)
+        if beat.leaving:
+            self._list_hosts(now)
+        for pool, key, count in beat.loads:
+            self.registrar.take_load(PoolId(pool), key, count)
+        for server, slowness, use in beat.servers:
+            self.registrar.take_use(ServerId(server), slowness, use)
+        if subscriber.sent is None or beat.revision < 0:
+            self._catch_up(subscriber, beat.revision)
+        if not subscriber.hosts_sent and self._listed:
+            self._send_hosts(subscriber)
+        self.rounds.await_round(partial(self._answer, subscriber, beat))
+
+    def _answer(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
+        answer = EntryAnswer(
+            sequence=beat.sequence,
+            term=self.group.replica.term,
+            revision=self._view.revision,
+            members=[m.replica_id for m in self.group.replica.members.members],
+        )
+        self._send(subscriber, answer)
+
+    def _take_ask(self, subscriber: _Subscriber, ask: RateAsk) -> None:
+        now = self._clock()
+        grant = RateGrant(
+            sequence=ask.sequence,
+            term=self.group.replica.term,
+            tokens={},
+            pauses={},
+            shares={},
+        )
+        for workspace, (urgent, spare) in ask.wanted.items():
+            result = self._authority.grant(
+                now, HostId(ask.host), WorkspaceId(workspace), urgent, spare
+            )
+            grant.tokens[workspace] = result.tokens
+            grant.shares[workspace] = result.share
+            if result.pause:
+                grant.pauses[workspace] = result.pause
+        self._send(subscriber, grant)
+
+    # Live entries.
+
+    def _list_hosts(self, now: float) -> None:
+        rows = []
+        for host in sorted(self._hosts):
+            item = self._hosts[host]
+            if now - item.heard_at > HOST_TIMEOUT:
+                del self._hosts[host]
+                logger.info("Entry {} is silent.", host)
+                continue
+            if not item.beat.leaving:
+                rows.append([host, item.beat.failure_domain, item.beat.stream])
+        if rows == self._listed or now - self._led_since < HOSTS_DELAY:
+            return
+        self._listed = rows
+        logger.info("Live entries are {}.", ", ".join(row[0] for row in rows))
+        for subscriber in list(self._subscribers):
+            self._send_hosts(subscriber)
+
+    def _send_hosts(self, subscriber: _Subscriber) -> None:
+        subscriber.hosts_sent = True
+        term = self.group.replica.term
+        self._send(subscriber, HostsPush(term=term, rows=self._listed))
+
+    # Views.
+
+    def _catch_up(self, subscriber: _Subscriber, revision: int) -> None:
+        view = self._view
+        missing = [item for item in self._deltas if item.base >= revision]
+        is_known = bool(missing) and missing[0].base == revision
+        if revision < 0 or (revision != view.revision and not is_known):
+            self._send_view(subscriber, view)
+        elif revision != view.revision:
+            for delta in missing:
+                self._send(subscriber, delta)
+        subscriber.sent = view.revision
+        for status in self.registrar.list_status(self._clock()):
+            self._send(subscriber, status)
+
+    def _send_view(self, subscriber: _Subscriber, view: FleetView) -> None:
+        data = view.pack()
+        for start in range(0, len(data), VIEW_PART):
+            part = StatePush(
+                revision=view.revision,
+                last=start + VIEW_PART >= len(data),
+                data=data[start : start + VIEW_PART],
+            )
+            self._send(subscriber, part)
+
+    def _send(self, subscriber: _Subscriber, message: object) -> None:
+        stream = subscriber.stream
+        if stream.closed:
+            return
+        if stream.unsent > MAX_UNSENT:
+            logger.warning("Closed the stream to {}: it is too slow.", stream.peer)
+            stream.close()
+            return
+        try:
+            stream.send(message)
+        except StreamClosed:
+            logger.debug("Stream to {} is closed.", stream.peer)
+
+
+def list_limits(view: FleetView) -> dict[WorkspaceId, RateLimit]:
+    """Returns the limits of all workspaces that have one."""
+    limits = {}
+    for item in view.items.iterate(ItemKind.WORKSPACE):
+        if item.rate > 0:
+            limits[item.name] = RateLimit(rate=item.rate, burst=item.burst)
+    return limits
--- /dev/null
+++ b/src/monsoonlug/rates.py
@@ -0,0 +1,269 @@
+"""Rate and burst of a workspace, summed over all hosts, without a stop of service.
+
+The control leader keeps one token bucket for each workspace and hands its tokens to the
+entries that ask. An entry spends a token for each request. While no leader answers, an
+entry refills itself at its recent share of the rate: the shares of all entries add up
+to at most the rate, so the limit holds and service goes on. A new leader starts with a
+small part of the burst, as its predecessor may have given away the rest.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from monsoonlug.ids import HostId, WorkspaceId
+
+FIRST_LEVEL = 0.25  # of the burst, in the bucket of a new leader
+SHARE_MEMORY = 4.0  # seconds over which the shares of the hosts are averaged
+SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
+SPARE_TIME = 0.6  # seconds of a host's demand that it keeps as spare tokens
+ASK_INTERVAL = 0.040  # seconds between two asks of a host
+ANSWER_TIMEOUT = 0.800  # seconds without an answer, of two beats, until it refills
+IDLE_TIME = 2.0  # seconds after which a host drops tokens that it does not use
+DEMAND_MEMORY = 2.0  # seconds over which a host's demand is averaged
+FIRST_SHARE = 0.05  # of the rate, for a host that was told no share yet
+LEAST_PAUSE = 0.050  # seconds
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimit:
+    """Limit of one workspace.
+
+    Attributes:
+        rate: Requests per second.
+        burst: Requests that may come at once.
+    """
+
+    rate: float
+    burst: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateResult:
+    """Tokens granted for one ask.
+
+    Attributes:
+        pause: Seconds until another token can be had; 0 if all urgent ones were.
+        share: Share of the workspace's recent tokens that went to the host.
+    """
+
+    tokens: int
+    pause: float
+    share: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _Bucket:
+    limit: RateLimit
+    level: float
+    filled_at: float
+    granted: dict[HostId, float] = field(default_factory=dict)
+
+
+class RateAuthority:
+    """Token buckets of one leader.
+
+    Args:
+        now: Time of the election, in seconds.
+    """
+
+    def __init__(self, *, now: float):
+        self._buckets: dict[WorkspaceId, _Bucket] = {}
+        self._aged_at = now
+
+    def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
+        """Puts limits in force."""
+        for workspace in set(self._buckets) - set(limits):
+            del self._buckets[workspace]
+        for workspace, limit in limits.items():
+            bucket = self._buckets.get(workspace)
+            if bucket is None:
+                self._buckets[workspace] = _Bucket(
+                    limit=limit, level=FIRST_LEVEL * limit.burst, filled_at=now
+                )
+                continue
+            self._fill(now, bucket)
+            bucket.limit = limit
+            bucket.level = min(bucket.level, limit.burst)
+
+    def grant(
+        self,
+        now: float,
+        host: HostId,
+        workspace: WorkspaceId,
+        urgent: int,
+        spare: int,
+    ) -> RateResult:
+        """Grants tokens to a host.
+
+        Args:
+            now: Seconds.
+            host: The host.
+            workspace: The workspace.
+            urgent: Tokens that requests wait for.
+            spare: Tokens that the host expects to need soon.
+        """
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return RateResult(tokens=urgent + spare, pause=0.0, share=1.0)
+        self._age(now)
+        self._fill(now, bucket)
+        tokens = min(urgent, int(bucket.level))
+        missing = urgent - tokens
+        room = bucket.level - tokens - SPARE_LEVEL * bucket.limit.burst
+        if not missing and room > 0:
+            tokens += min(spare, int(room))
+        bucket.level -= tokens
+        bucket.granted[host] = bucket.granted.get(host, 0.0) + tokens
+        pause = 0.0
+        if missing:
+            pause = max(LEAST_PAUSE, (missing - bucket.level) / bucket.limit.rate)
+        return RateResult(tokens=tokens, pause=pause, share=_find_share(bucket, host))
+
+    def _fill(self, now: float, bucket: _Bucket) -> None:
+        elapsed = max(0.0, now - bucket.filled_at)
+        bucket.filled_at = now
+        filled = bucket.level + elapsed * bucket.limit.rate
+        bucket.level = min(filled, bucket.limit.burst)
+
+    def _age(self, now: float) -> None:
+        if now - self._aged_at < SHARE_MEMORY / 8:
+            return
+        factor = math.exp(-(now - self._aged_at) / SHARE_MEMORY)
+        self._aged_at = now
+        for bucket in self._buckets.values():
+            for host in list(bucket.granted):
+                bucket.granted[host] *= factor
+                if bucket.granted[host] < 0.01:
+                    del bucket.granted[host]
+
+
+def _find_share(bucket: _Bucket, host: HostId) -> float:
+    total = sum(bucket.granted.values())
+    return bucket.granted.get(host, 0.0) / total if total > 0 else 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Purse:
+    limit: RateLimit
+    filled_at: float
+    tokens: float = 0.0
+    share: float = FIRST_SHARE
+    demand: float = 0.0
+    demand_at: float = 0.0
+    used_at: float = 0.0
+    waiting: int = 0
+    refused_until: float = 0.0
+
+
+class RateWallet:
+    """Tokens of one entry.
+
+    Args:
+        now: Seconds.
+    """
+
+    def __init__(self, *, now: float):
+        self._purses: dict[WorkspaceId, _Purse] = {}
+        self._answered_at = now
+        self._asked_at = -math.inf
+
+    def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
+        """Puts limits in force."""
+        for workspace in set(self._purses) - set(limits):
+            del self._purses[workspace]
+        for workspace, limit in limits.items():
+            purse = self._purses.get(workspace)
+            if purse is None:
+                self._purses[workspace] = _Purse(limit=limit, filled_at=now)
+                continue
+            purse.limit = limit
+
+    def is_cut_off(self, now: float) -> bool:
+        """Whether no leader answers, so that this host refills itself."""
+        return now - self._answered_at > ANSWER_TIMEOUT
+
+    def count(self, now: float, workspace: WorkspaceId) -> None:
+        """Counts the demand of one request."""
+        purse = self._purses.get(workspace)
+        if purse is None:
+            return
+        elapsed = max(0.0, now - purse.demand_at)
+        purse.demand_at = now
+        purse.demand *= math.exp(-elapsed / DEMAND_MEMORY)
+        purse.demand += 1 / DEMAND_MEMORY
+
+    def take(self, now: float, workspace: WorkspaceId) -> bool:
+        """Spends a token; returns False if there is none."""
+        purse = self._purses.get(workspace)
+        if purse is None:
+            return True
+        self._refill(now, purse)
+        if purse.tokens < 1:
+            return False
+        purse.tokens -= 1
+        purse.used_at = now
+        return True
+
+    def find_pause(self, now: float, workspace: WorkspaceId) -> float:
+        """Returns seconds for which the leader said that there are no tokens."""
+        purse = self._purses.get(workspace)
+        return max(0.0, purse.refused_until - now) if purse else 0.0
+
+    def wait(self, workspace: WorkspaceId, change: int) -> None:
+        """Counts a request that begins (1) or ends (-1) to wait for a token."""
+        purse = self._purses.get(workspace)
+        if purse is not None:
+            purse.waiting = max(0, purse.waiting + change)
+
+    def build_ask(self, now: float) -> dict[str, list[int]]:
+        """Returns the tokens to ask for; empty if nothing is wanted yet."""
+        if now - self._asked_at < ASK_INTERVAL:
+            return {}
+        wanted = {}
+        for workspace, purse in self._purses.items():
+            self._drop_idle(now, purse)
+            since = max(0.0, now - purse.demand_at)
+            demand = purse.demand * math.exp(-since / DEMAND_MEMORY)
+            target = demand * SPARE_TIME
+            spare = max(0, math.ceil(target - purse.tokens))
+            if purse.waiting or (spare and purse.tokens < target / 2):
+                wanted[workspace] = [purse.waiting, spare]
+        if wanted:
+            self._asked_at = now
+        return wanted
+
+    def receive(
+        self,
+        now: float,
+        tokens: dict[str, int],
+        pauses: dict[str, float],
+        shares: dict[str, float],
+    ) -> None:
+        """Takes the answer to an ask."""
+        self._answered_at = now
+        for workspace, count in tokens.items():
+            purse = self._purses.get(workspace)
+            if purse is None:
+                continue
+            purse.tokens += count
+            purse.filled_at = now
+            purse.share = shares.get(workspace, purse.share)
+            pause = pauses.get(workspace, 0.0)
+            purse.refused_until = now + pause if pause else 0.0
+
+    def note_answer(self, now: float) -> None:
+        """Notes that the leader answers, with or without tokens."""
+        self._answered_at = now
+
+    def _refill(self, now: float, purse: _Purse) -> None:
+        elapsed = max(0.0, now - max(purse.filled_at, self._answered_at))
+        purse.filled_at = now
+        if not self.is_cut_off(now):
+            return
+        rate = purse.limit.rate * purse.share
+        # Not more than one second's share is kept, as no one knows for how long.
+        purse.tokens = min(max(1.0, rate, purse.tokens), purse.tokens + elapsed * rate)
+
+    def _drop_idle(self, now: float, purse: _Purse) -> None:
+        if now - purse.used_at > IDLE_TIME:
+            purse.tokens = 0.0
--- a/src/monsoonlug/replica_state.py
+++ b/src/monsoonlug/replica_state.py
@@ -17,9 +17,7 @@
 from monsoonlug.ids import ReplicaId
 from monsoonlug.journal import Entry, EntryKind, Storage
 from monsoonlug.leadership import Leadership
-
-ELECTION_TIMEOUT_MIN = 0.150  # seconds
-ELECTION_TIMEOUT_MAX = 0.300  # seconds
+from monsoonlug.timing import DEFAULT_TIMES, ConsensusTimes
 
 
 class ReplicaState:
@@ -30,6 +28,7 @@
         storage: Durable state.
         random: Source of the election timeouts.
         now: Time in seconds.
+        times: Timing of the group.
     """
 
     def __init__(
@@ -39,7 +38,9 @@
         storage: Storage,
         random: random_module.Random,
         now: float,
+        times: ConsensusTimes = DEFAULT_TIMES,
     ):
+        self.times = times
         self.replica_id = replica_id
         self.identity = storage.identity
         self.random = random
@@ -87,7 +88,7 @@
     def put_off_election(self) -> None:
         """Draws a new election timeout, which starts now."""
         self.elect_at = self.now + self.random.uniform(
-            ELECTION_TIMEOUT_MIN, ELECTION_TIMEOUT_MAX
+            self.times.election_min, self.times.election_max
         )
 
     def hear_leader(self) -> None:
@@ -99,7 +100,7 @@
         """Whether this replica leads or heard a leader within an election timeout."""
         if self.leadership:
             return True
-        return self.now - self._leader_heard_at < ELECTION_TIMEOUT_MIN
+        return self.now - self._leader_heard_at < self.times.election_min
 
     def save_vote(self, term: int, vote: str) -> None:
         """Stores term and vote durably.
--- a/src/monsoonlug/state.py
+++ b/src/monsoonlug/state.py
@@ -11,11 +11,13 @@
     Command,
     OperatorCommand,
     Outcome,
+    decode_command,
 )
 from monsoonlug.configuration import decide_change
 from monsoonlug.deltas import ConfigRevisionRecord, Delta
 from monsoonlug.exceptions import DamagedFrame, StaleRevision
 from monsoonlug.ids import Revision
+from monsoonlug.replicated import ReplicatedState
 from monsoonlug.rules import decide_command
 from monsoonlug.view import View
 
@@ -24,7 +26,7 @@
 MAX_CONFLICTS = 10  # summaries in one answer
 
 
-class ControlState:
+class ControlState(ReplicatedState):
     """View, answers to operators and summaries of the last changes.
 
     Every replica applies the same commands with the same log indexes and therefore has
@@ -83,6 +85,11 @@
         state.view = View.unpack(view)
         return state
 
+    @staticmethod
+    def decode_command(data: bytes) -> Command:
+        """Returns the command in a log entry; see `ReplicatedState`."""
+        return decode_command(data)
+
     def _answer(self, outcome: Outcome) -> Answer:
         return Answer(
             status=outcome.status,
--- a/src/monsoonlug/streams.py
+++ b/src/monsoonlug/streams.py
@@ -1,6 +1,7 @@
 """Framed msgpack streams over TCP between the system's processes."""
 
 import asyncio
+import socket
 import struct
 from collections.abc import AsyncIterator
 
@@ -9,7 +10,9 @@
 from monsoonlug.settings import split_address
 
 _LENGTH = struct.Struct(">I")
+_IP_FAMILIES = (socket.AF_INET, socket.AF_INET6)
 HELLO_TIMEOUT = 2.0  # seconds
+SILENT_TIMEOUT = 1_000  # milliseconds for which sent data may stay unacknowledged
 
 
 class MessageStream:
@@ -28,6 +31,7 @@
         self._is_batching = False
         self.peer = ""
         self.peer_role = ""
+        limit_silence(writer)
 
     def send(self, message: object, *, batched: bool = False) -> None:
         """Sends a message.
@@ -148,6 +152,21 @@
         self.peer_role = answer.role
 
 
+def limit_silence(
+    transport: asyncio.StreamWriter | asyncio.BaseTransport,
+    *,
+    milliseconds: int = SILENT_TIMEOUT,
+) -> None:
+    """Makes a connection fail once its peer is silent.
+
+    A host without power sends no reset, and the system would go on sending for minutes.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None or connection.family not in _IP_FAMILIES:
+        return
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 async def connect(address: str, *, role: str, sender: str) -> MessageStream:
     """Opens a stream to another process.
 
--- a/src/monsoonlug/targets.py
+++ b/src/monsoonlug/targets.py
@@ -30,6 +30,7 @@
     Attributes:
         slice: Slice of the routing key, or -1 on a pooled route.
         key_hash: Hash of the routing key if the key has an override.
+        pool: Pool of the request if its gate serves announced servers, or empty.
     """
 
     host: HostId
@@ -39,6 +40,7 @@
     slice: int = POOLED
     slice_epoch: Epoch = Epoch(0)
     key_hash: int | None = None
+    pool: str = ""
 
 
 class TargetFinder:
@@ -55,6 +57,7 @@
         self._view = View()
         self._changed = asyncio.Event()
         self._routers: dict[PoolId, PoolRouter] = {}
+        self.patience = OWNER_PATIENCE
 
     def update(self, view: View) -> None:
         """Takes a new revision of the view."""
@@ -73,6 +76,9 @@
             if router is None:
                 router = self._routers[pool.name] = PoolRouter(random=self._random)
             router.set_servers(sorted(pools.get(pool.name, [])))
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -113,6 +119,9 @@
             now = self._clock()
             router.finished(now, target.server, RequestId(request_id), outcome)
 
+    def note_wait(self, target: Target, wait: float) -> None:
+        """Takes how many seconds a gate said that a new request would take."""
+
     async def wait(
         self,
         admitted: AdmittedRequest,
@@ -128,9 +137,9 @@
 
         Returns:
             The target, or None if there was none until the deadline or for
-            `OWNER_PATIENCE`.
+            `patience`.
         """
-        until = min(deadline, self._clock() + OWNER_PATIENCE)
+        until = min(deadline, self._clock() + self.patience)
         while True:
             target = self.find(admitted, exclude)
             remaining = until - self._clock()
