Follow a redirect to a leader that is no seed, and count spare tokens against the burst

Change: an entry connects to the leader that a redirect names. The bucket's level is at most the burst less the spare tokens of the last second. Spare tokens travel with beats, notices to entries are joined, callers do not get the server's load header.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -120,7 +120,6 @@
         self._gates = GateHost(
             clock=read_clock,
             open_backend=self._open_backend,
-            may_serve=lambda digest: self._ingress.may_serve(digest),
         )
         self._watch = PeerWatch(
             clock=read_clock, list_busy=self._exchanges.list_busy, send=self._send
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -159,8 +159,9 @@
         revision: Revision of its view; -1 asks for the whole view.
         leaving: Whether the entry is shutting down.
         loads: Rows of pool, key and requests since the last beat.
-        servers: Rows of server, slowness relative to its pool and share of the time
-            in which its slots were busy.
+        servers: Rows of server, slowness relative to its pool and offered load over its
+            slots.
+        wanted: Pairs of urgent and spare tokens, by workspace.
     """
 
     sequence: int
@@ -172,6 +173,7 @@
     leaving: bool
     loads: list
     servers: list
+    wanted: dict
 
 
 @messages.register(231)
@@ -182,12 +184,18 @@
     Attributes:
         revision: Revision of the leader's view at that moment.
         members: Stream addresses of the control replicas.
+        tokens: Tokens granted, by workspace.
+        pauses: Seconds until a token can be had, by workspace without one.
+        shares: Share of the workspace's recent tokens that went to this host.
     """
 
     sequence: int
     term: int
     revision: int
     members: list
+    tokens: dict
+    pauses: dict
+    shares: dict
 
 
 @messages.register(232)
@@ -209,7 +217,6 @@
     rows: list
 
 
-@messages.register(234)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyStatus:
     """Says whether the owner of keys serves them now.
@@ -219,13 +226,21 @@
         ready: False while the owner releases them or has not yet heard of them.
     """
 
-    pool: str
+    pool: PoolId
     start: int
     end: int
     epoch: int
     ready: bool
 
 
+@messages.register(234)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyStatusPush:
+    """Carries several `KeyStatus` as rows of their fields."""
+
+    rows: list
+
+
 @messages.register(235)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerCold:
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -78,6 +78,7 @@
     """
 
     request_id_header = "X-Request-Id"
+    private_headers = ROUTER_HEADERS  # of answers, which callers do not get
 
     def __init__(
         self,
@@ -265,7 +266,9 @@
 
     def __post_init__(self):
         self.status = self.call.response.status
-        self.headers = _list_answer_headers(self.call.response)
+        self.headers = _list_answer_headers(
+            self.call.response, self.backend.private_headers
+        )
 
     def read_whole(self, limit: int) -> bytes | None:
         """Returns the body if it is small and whole; see `BackendAnswer`."""
@@ -458,7 +461,9 @@
     return float(text) if text.isascii() and text.isdigit() else None
 
 
-def _list_answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+def _list_answer_headers(
+    response: aiohttp.ClientResponse, private: frozenset[str]
+) -> list[tuple[str, str]]:
     dropped = set()
     for value in response.headers.getall("Connection", []):
         for part in value.split(","):
@@ -467,7 +472,7 @@
     for name, value in response.raw_headers:
         text = name.decode("latin-1")
         lower = text.lower()
-        if lower in HOP_BY_HOP or lower in ROUTER_HEADERS or lower in dropped:
+        if lower in HOP_BY_HOP or lower in private or lower in dropped:
             continue
         kept.append((text, _decode_value(value)))
     return kept
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -98,6 +98,7 @@
 
     request: AdmittedRequest
     route: RouteItem
+    key_digest: str
     deadline: float
 
 
@@ -155,10 +156,6 @@
         self._tokens_changed.set()
         self._tokens_changed = asyncio.Event()
 
-    def may_serve(self, digest: str) -> bool:
-        """Returns whether a workspace key is still in force."""
-        return self._index.holds_digest(digest)
-
     def take_loads(self) -> list[list]:
         """Returns rows of pool, key and requests since the last call."""
         loads, self._loads = self._loads, {}
@@ -255,7 +252,7 @@
         admitted = AdmittedRequest(
             route=served,
             workspace=workspace.name if workspace else None,
-            key_digest=digest,
+            key_digest="",
             routing_key=self._read_key(pool, caller),
             method=request.method,
             target=request.raw_path,
@@ -264,7 +261,9 @@
             idempotency_key="",
             objective_at=started + route.objective,
         )
-        return _Admitted(request=admitted, route=route, deadline=deadline)
+        return _Admitted(
+            request=admitted, route=route, key_digest=digest, deadline=deadline
+        )
 
     def _identify(self, route: RouteItem, key: str) -> tuple[WorkspaceItem | None, str]:
         if route.open:
@@ -325,7 +324,7 @@
         finally:
             wallet.wait(workspace, -1)
         # The request may have waited while its key was withdrawn.
-        if not self._index.holds_digest(admitted.request.key_digest):
+        if not self._index.holds_digest(admitted.key_digest):
             raise KeyRefused()
 
     async def _wait_for_token(self, workspace: WorkspaceId, until: float) -> None:
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -21,6 +21,7 @@
 EXPECTED_SERVER = "X-Monsoonlug-Expect-Instance"
 WORKSPACE = "X-Monsoonlug-Tenant-Id"
 NOT_RUN = "X-Monsoonlug-Not-Executed"
+SERVER_LOAD = "X-Monsoonlug-Server-Load"
 WRONG_SERVER = 421  # also the answer of a server that does not hold the key
 
 REUSE_LIMIT = 0.4  # seconds; servers may forget an idle connection without notice
@@ -60,6 +61,7 @@
     """Sends requests to one backend server of the platform."""
 
     request_id_header = REQUEST_ID
+    private_headers = frozenset({SERVER_LOAD.lower()})
 
     def build_headers(self, request: BackendRequest, remaining: float) -> CIMultiDict:
         """Returns the headers to send; see `HttpBackend`."""
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -18,6 +18,8 @@
     EntryBeat,
     FleetDelta,
     HostsPush,
+    KeyStatus,
+    KeyStatusPush,
     RateAsk,
     RateGrant,
     StatePush,
@@ -35,7 +37,7 @@
 KEPT_DELTAS = 500
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
 VIEW_PART = 262_144  # bytes of one `StatePush`
-HOST_TIMEOUT = 1.3  # seconds without a beat after which an entry is not listed
+HOST_TIMEOUT = 1.6  # seconds without a beat after which an entry is not listed
 HOSTS_DELAY = 1.5  # seconds after an election in which entries report themselves
 
 logger = get_logger("control")
@@ -111,7 +113,8 @@
         """Sends what the registrar has to tell all entries."""
         if self.registrar is None:
             return
-        for notice in self.registrar.take_notices():
+        notices = _join_status(self.registrar.take_notices())
+        for notice in notices:
             for subscriber in list(self._subscribers):
                 self._send(subscriber, notice)
 
@@ -182,7 +185,8 @@
             case EntryBeat():
                 self._take_beat(subscriber, message)
             case RateAsk():
-                self._take_ask(subscriber, message)
+                grant = self._grant(message.sequence, message.host, message.wanted)
+                self._send(subscriber, grant)
 
     def _take_beat(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
         now = self._clock()
@@ -200,32 +204,36 @@
         self.rounds.await_round(partial(self._answer, subscriber, beat))
 
     def _answer(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
+        grant = self._grant(beat.sequence, beat.host, beat.wanted)
         answer = EntryAnswer(
             sequence=beat.sequence,
             term=self.group.replica.term,
             revision=self._view.revision,
             members=[m.replica_id for m in self.group.replica.members.members],
+            tokens=grant.tokens,
+            pauses=grant.pauses,
+            shares=grant.shares,
         )
         self._send(subscriber, answer)
 
-    def _take_ask(self, subscriber: _Subscriber, ask: RateAsk) -> None:
+    def _grant(self, sequence: int, host: str, wanted: dict) -> RateGrant:
         now = self._clock()
         grant = RateGrant(
-            sequence=ask.sequence,
+            sequence=sequence,
             term=self.group.replica.term,
             tokens={},
             pauses={},
             shares={},
         )
-        for workspace, (urgent, spare) in ask.wanted.items():
+        for workspace, (urgent, spare) in wanted.items():
             result = self._authority.grant(
-                now, HostId(ask.host), WorkspaceId(workspace), urgent, spare
+                now, HostId(host), WorkspaceId(workspace), urgent, spare
             )
             grant.tokens[workspace] = result.tokens
-            grant.shares[workspace] = result.share
+            grant.shares[workspace] = round(result.share, 3)
             if result.pause:
-                grant.pauses[workspace] = result.pause
-        self._send(subscriber, grant)
+                grant.pauses[workspace] = round(result.pause, 3)
+        return grant
 
     # Live entries.
 
@@ -263,7 +271,7 @@
             for delta in missing:
                 self._send(subscriber, delta)
         subscriber.sent = view.revision
-        for status in self.registrar.list_status(self._clock()):
+        for status in _join_status(self.registrar.list_status(self._clock())):
             self._send(subscriber, status)
 
     def _send_view(self, subscriber: _Subscriber, view: FleetView) -> None:
@@ -290,6 +298,18 @@
             logger.debug("Stream to {} is closed.", stream.peer)
 
 
+def _join_status(notices: list[object]) -> list[object]:
+    """Returns notices with all `KeyStatus` in one message."""
+    rows = []
+    joined = []
+    for notice in notices:
+        if not isinstance(notice, KeyStatus):
+            joined.append(notice)
+            continue
+        rows.append([notice.pool, notice.start, notice.end, notice.epoch, notice.ready])
+    return [*joined, KeyStatusPush(rows=rows)] if rows else joined
+
+
 def list_limits(view: FleetView) -> dict[WorkspaceId, RateLimit]:
     """Returns the limits of all workspaces that have one."""
     limits = {}
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -15,11 +15,13 @@
 FIRST_LEVEL = 0.25  # of the burst, in the bucket of a new leader
 SHARE_MEMORY = 4.0  # seconds over which the shares of the hosts are averaged
 SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
-SPARE_TIME = 0.6  # seconds of a host's demand that it keeps as spare tokens
+SPARE_TIME = 0.8  # seconds of a host's demand that it keeps as spare tokens
+SPARE_MEMORY = 1.0  # seconds for which spare tokens count as held by their host
 ASK_INTERVAL = 0.040  # seconds between two asks of a host
-ANSWER_TIMEOUT = 0.800  # seconds without an answer, of two beats, until it refills
+ANSWER_TIMEOUT = 1.000  # seconds without an answer, of two beats, until it refills
 IDLE_TIME = 2.0  # seconds after which a host drops tokens that it does not use
 DEMAND_MEMORY = 2.0  # seconds over which a host's demand is averaged
+LEAST_DEMAND = 0.2  # requests per second below which a host keeps no tokens
 FIRST_SHARE = 0.05  # of the rate, for a host that was told no share yet
 LEAST_PAUSE = 0.050  # seconds
 
@@ -56,6 +58,7 @@
     limit: RateLimit
     level: float
     filled_at: float
+    spare: float = 0.0
     granted: dict[HostId, float] = field(default_factory=dict)
 
 
@@ -111,7 +114,9 @@
         missing = urgent - tokens
         room = bucket.level - tokens - SPARE_LEVEL * bucket.limit.burst
         if not missing and room > 0:
-            tokens += min(spare, int(room))
+            extra = min(spare, int(room))
+            tokens += extra
+            bucket.spare += extra
         bucket.level -= tokens
         bucket.granted[host] = bucket.granted.get(host, 0.0) + tokens
         pause = 0.0
@@ -122,8 +127,10 @@
     def _fill(self, now: float, bucket: _Bucket) -> None:
         elapsed = max(0.0, now - bucket.filled_at)
         bucket.filled_at = now
+        bucket.spare *= math.exp(-elapsed / SPARE_MEMORY)
         filled = bucket.level + elapsed * bucket.limit.rate
-        bucket.level = min(filled, bucket.limit.burst)
+        # Spare tokens that the hosts still hold can be spent in the same window.
+        bucket.level = min(filled, max(0.0, bucket.limit.burst - bucket.spare))
 
     def _age(self, now: float) -> None:
         if now - self._aged_at < SHARE_MEMORY / 8:
@@ -215,23 +222,35 @@
         if purse is not None:
             purse.waiting = max(0, purse.waiting + change)
 
-    def build_ask(self, now: float) -> dict[str, list[int]]:
-        """Returns the tokens to ask for; empty if nothing is wanted yet."""
+    def build_urgent(self, now: float) -> dict[str, list[int]]:
+        """Returns the tokens that requests wait for; empty if none does."""
         if now - self._asked_at < ASK_INTERVAL:
             return {}
         wanted = {}
         for workspace, purse in self._purses.items():
-            self._drop_idle(now, purse)
-            since = max(0.0, now - purse.demand_at)
-            demand = purse.demand * math.exp(-since / DEMAND_MEMORY)
-            target = demand * SPARE_TIME
-            spare = max(0, math.ceil(target - purse.tokens))
-            if purse.waiting or (spare and purse.tokens < target / 2):
-                wanted[workspace] = [purse.waiting, spare]
+            if purse.waiting:
+                wanted[workspace] = [purse.waiting, self._count_spare(now, purse)]
         if wanted:
             self._asked_at = now
         return wanted
 
+    def build_spare(self, now: float) -> dict[str, list[int]]:
+        """Returns the tokens to ask for with a beat."""
+        wanted = {}
+        for workspace, purse in self._purses.items():
+            self._drop_idle(now, purse)
+            spare = self._count_spare(now, purse)
+            if purse.waiting or spare:
+                wanted[workspace] = [purse.waiting, spare]
+        return wanted
+
+    def _count_spare(self, now: float, purse: _Purse) -> int:
+        since = max(0.0, now - purse.demand_at)
+        demand = purse.demand * math.exp(-since / DEMAND_MEMORY)
+        if demand < LEAST_DEMAND:
+            return 0
+        return max(0, round(demand * SPARE_TIME - purse.tokens))
+
     def receive(
         self,
         now: float,
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -13,7 +13,7 @@
     FleetDelta,
     HostsPush,
     KeysAssigned,
-    KeyStatus,
+    KeyStatusPush,
     RateAsk,
     RateGrant,
     ServerCold,
@@ -29,9 +29,9 @@
 from monsoonlug.rates import RateWallet
 
 ROLE = "entry"
-BEAT_INTERVAL = 0.300  # seconds
+BEAT_INTERVAL = 0.400  # seconds
 SEARCH_INTERVAL = 0.100  # seconds between two beats while no leader is known
-LEADER_SILENCE = 0.700  # seconds without an answer until all replicas are asked
+LEADER_SILENCE = 0.900  # seconds without an answer until all replicas are asked
 PENDING_TIME = 1.5  # seconds after which keys count as served without word of it
 MAX_UNANSWERED = 64  # beats whose send times are kept
 
@@ -165,7 +165,7 @@
         link = self._links.get(self._leader)
         if link is None:
             return
-        wanted = self.wallet.build_ask(self._clock())
+        wanted = self.wallet.build_urgent(self._clock())
         if not wanted:
             return
         self._sequence += 1
@@ -233,6 +233,7 @@
             leaving=self.is_leaving,
             loads=loads,
             servers=servers,
+            wanted=self.wallet.build_spare(now) if self._leader else {},
         )
         self._sent[self._sequence] = now
         while len(self._sent) > MAX_UNANSWERED:
@@ -267,16 +268,23 @@
                 self._take_view(address, message)
             case RateGrant():
                 self._take_grant(message)
-            case KeyStatus():
+            case KeyStatusPush():
                 self._take_status(message)
             case HostsPush():
                 self._take_hosts(message)
             case ServerCold():
                 self._on_cold(ServerId(message.server), message.seconds)
             case Redirect():
-                if self._leader == address:
-                    self._leader = ""
-                    self._wake.set()
+                self._take_redirect(address, message)
+
+    def _take_redirect(self, address: str, redirect: Redirect) -> None:
+        if self._leader == address:
+            self._leader = ""
+            self._wake.set()
+        if redirect.leader and redirect.leader not in self._links:
+            # The leader need not be among the seeds.
+            self._members = (*self._members, redirect.leader)
+            self._fit_links()
 
     def _take_answer(self, address: str, answer: EntryAnswer) -> None:
         if answer.term < self._term:
@@ -293,6 +301,9 @@
         self._term = answer.term
         self._answered_at = now
         self.wallet.note_answer(now)
+        if answer.tokens:
+            self.wallet.receive(now, answer.tokens, answer.pauses, answer.shares)
+            self._on_tokens()
         sent_at = self._sent.pop(answer.sequence, None)
         if sent_at is not None and answer.revision <= self.view.revision:
             self.confirmed_at = max(self.confirmed_at, sent_at)
@@ -343,12 +354,13 @@
         self.wallet.receive(self._clock(), grant.tokens, grant.pauses, grant.shares)
         self._on_tokens()
 
-    def _take_status(self, status: KeyStatus) -> None:
-        pool = PoolId(status.pool)
-        if status.ready:
-            self.blocks.clear(pool, status.start, status.end, status.epoch)
-        else:
-            self.blocks.add(self._clock(), pool, status.start, status.end, status.epoch)
+    def _take_status(self, push: KeyStatusPush) -> None:
+        now = self._clock()
+        for pool, start, end, epoch, ready in push.rows:
+            if ready:
+                self.blocks.clear(PoolId(pool), start, end, epoch)
+            else:
+                self.blocks.add(now, PoolId(pool), start, end, epoch)
         self._change_view()
 
     def _take_hosts(self, push: HostsPush) -> None:
