Ask for each token once, and hold back requests for keys that a server did not hold

Cause: a host asked again every 40 ms for tokens that were on their way, kept the second ones and spent them on top of a later burst.

Change: tokens that are asked for are not asked for again for 150 ms; beats ask for spare tokens only. After a rejection the keys wait 250 ms or until the view changes. A server that cannot be reached is skipped for 0.5 s, and connects end after 0.3 s.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -321,6 +321,7 @@
                 )
             case RequestFailed():
                 self._outcome = _judge_failure(frame)
+                self._tools.finder.note_failure(self._target, find_error(frame.code))
                 return AttemptFailed(
                     attempt=attempt,
                     request_id=self._match_id(frame.request),
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from monsoonlug.admission import AdmittedRequest
+from monsoonlug.exceptions import BackendFenced, MonsoonlugError
 from monsoonlug.fleet import FleetView
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import (
@@ -16,12 +17,14 @@
     rank_hosts,
 )
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
+from monsoonlug.jobs import POOLED
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 
 PATIENCE = (
     0.9  # seconds that a request waits for an owner; keys move within a heartbeat
 )
+FENCED_TIME = 0.25  # seconds until a server that did not hold a key is asked again
 FOREIGN_COST = 0.020  # seconds; what bytes across a border are worth in waiting time
 WAIT_MEMORY = 0.5  # seconds after which a reported wait has faded
 OWN_WEIGHT = (
@@ -124,6 +127,22 @@
         load.wait = wait
         load.told_at = self._clock()
 
+    def note_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
+        """Takes why an attempt failed.
+
+        A server that does not hold a key will not hold it a few milliseconds later, and
+        each request that it rejects counts against the bound on retries.
+        """
+        table = self._fleet.tables.get(PoolId(target.pool))
+        if error is not BackendFenced or target.slice == POOLED or table is None:
+            return
+        row = table.find(target.slice)
+        if row.epoch == target.slice_epoch:
+            now = self._clock()
+            self._blocks.add(
+                now, table.pool, row.start, row.end, row.epoch, seconds=FENCED_TIME
+            )
+
     def _find_holder(self, admitted: AdmittedRequest) -> Target | None:
         pool = PoolId(admitted.route.pool)
         table = self._fleet.tables.get(pool)
--- a/src/monsoonlug/gate.py
+++ b/src/monsoonlug/gate.py
@@ -33,13 +33,14 @@
 
     ANSWERED: a whole answer came. SHED: the server refused without running it.
     ABANDONED: it was cancelled or timed out, and the server may still run it.
-    LOST: the connection ended first.
+    LOST: the connection ended first. UNREACHED: no connection could be opened.
     """
 
     ANSWERED = "answered"
     SHED = "shed"
     ABANDONED = "abandoned"
     LOST = "lost"
+    UNREACHED = "unreached"
 
 
 class Gate:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -17,6 +17,7 @@
 from monsoonlug.exceptions import (
     BackendFenced,
     BackendRefused,
+    ConnectFailed,
     DeadlineExceeded,
     InternalError,
     MonsoonlugError,
@@ -372,7 +373,11 @@
         try:
             await self._exchange(queue, job, server)
             outcome = Outcome.ANSWERED
-        except (BackendRefused, BackendFenced, ProcessGone) as error:
+        except (ConnectFailed, ProcessGone) as error:
+            outcome = Outcome.UNREACHED
+            self._log_failure(job, server, error)
+            job.fail(error)
+        except (BackendRefused, BackendFenced) as error:
             outcome = Outcome.SHED
             self._log_failure(job, server, error)
             job.fail(error)
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -72,6 +72,7 @@
         connections: Connections that may be open at the same time.
         may_send: Asked right before the first byte of each request is written.
         clock: Monotonic clock of the deadlines, in seconds.
+        connect_timeout: Seconds until an attempt to connect is given up.
         reuse_limit: Seconds for which a connection may have been idle to carry a
             request that must not be repeated. The server may just be closing it, and
             then nobody knows whether the request ran.
@@ -88,8 +89,10 @@
         connections: int,
         may_send: Callable[[], bool] = _always,
         clock: Callable[[], float] = time.monotonic,
+        connect_timeout: float = CONNECT_TIMEOUT,
         reuse_limit: float = KEEPALIVE_TIMEOUT,
     ):
+        self._connect_timeout = connect_timeout
         self._reuse_limit = reuse_limit
         self.server = server
         self.address = address
@@ -136,7 +139,7 @@
         remaining = request.deadline - self._clock()
         if remaining <= 0:
             raise DeadlineExceeded()
-        connect = min(CONNECT_TIMEOUT, CONNECT_SHARE * remaining)
+        connect = min(self._connect_timeout, CONNECT_SHARE * remaining)
         self._connector.set_idle_limit(
             self._idle_limit if request.idempotent else self._reuse_limit
         )
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -24,6 +24,7 @@
 SERVER_LOAD = "X-Monsoonlug-Server-Load"
 WRONG_SERVER = 421  # also the answer of a server that does not hold the key
 
+CONNECT_TIMEOUT = 0.3  # seconds; a connection takes about 1 ms to open
 REUSE_LIMIT = 0.4  # seconds; servers may forget an idle connection without notice
 
 _ID = re.compile(r"[!-~]{1,100}")
@@ -96,6 +97,7 @@
         address=record.address,
         connections=pool.connections,
         clock=read_clock,
+        connect_timeout=CONNECT_TIMEOUT,
         reuse_limit=REUSE_LIMIT,
     )
 
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -17,7 +17,7 @@
 SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
 SPARE_TIME = 0.8  # seconds of a host's demand that it keeps as spare tokens
 SPARE_MEMORY = 1.0  # seconds for which spare tokens count as held by their host
-ASK_INTERVAL = 0.040  # seconds between two asks of a host
+ASK_TIMEOUT = 0.150  # seconds without an answer until a host asks again
 ANSWER_TIMEOUT = 1.000  # seconds without an answer, of two beats, until it refills
 IDLE_TIME = 2.0  # seconds after which a host drops tokens that it does not use
 DEMAND_MEMORY = 2.0  # seconds over which a host's demand is averaged
@@ -159,6 +159,8 @@
     demand_at: float = 0.0
     used_at: float = 0.0
     waiting: int = 0
+    asked: int = 0
+    asked_at: float = 0.0
     refused_until: float = 0.0
 
 
@@ -172,7 +174,6 @@
     def __init__(self, *, now: float):
         self._purses: dict[WorkspaceId, _Purse] = {}
         self._answered_at = now
-        self._asked_at = -math.inf
 
     def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
         """Puts limits in force."""
@@ -224,14 +225,18 @@
 
     def build_urgent(self, now: float) -> dict[str, list[int]]:
         """Returns the tokens that requests wait for; empty if none does."""
-        if now - self._asked_at < ASK_INTERVAL:
-            return {}
         wanted = {}
         for workspace, purse in self._purses.items():
-            if purse.waiting:
-                wanted[workspace] = [purse.waiting, self._count_spare(now, purse)]
-        if wanted:
-            self._asked_at = now
+            if now - purse.asked_at > ASK_TIMEOUT:
+                purse.asked = 0
+            # Tokens that are asked for twice would be kept and spent later, on top of
+            # the burst of that time.
+            urgent = purse.waiting - purse.asked
+            if urgent <= 0:
+                continue
+            purse.asked += urgent
+            purse.asked_at = now
+            wanted[workspace] = [urgent, 0]
         return wanted
 
     def build_spare(self, now: float) -> dict[str, list[int]]:
@@ -240,8 +245,8 @@
         for workspace, purse in self._purses.items():
             self._drop_idle(now, purse)
             spare = self._count_spare(now, purse)
-            if purse.waiting or spare:
-                wanted[workspace] = [purse.waiting, spare]
+            if spare:
+                wanted[workspace] = [0, spare]
         return wanted
 
     def _count_spare(self, now: float, purse: _Purse) -> int:
@@ -257,8 +262,10 @@
         tokens: dict[str, int],
         pauses: dict[str, float],
         shares: dict[str, float],
+        *,
+        urgent: bool,
     ) -> None:
-        """Takes the answer to an ask."""
+        """Takes the answer to an ask for urgent tokens, or for spare ones."""
         self._answered_at = now
         for workspace, count in tokens.items():
             purse = self._purses.get(workspace)
@@ -267,6 +274,9 @@
             purse.tokens += count
             purse.filled_at = now
             purse.share = shares.get(workspace, purse.share)
+            if not urgent:
+                continue
+            purse.asked = 0
             pause = pauses.get(workspace, 0.0)
             purse.refused_until = now + pause if pause else 0.0
 
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -35,6 +35,7 @@
 MOST_RETRY_AFTER = 2.0  # seconds
 SWEEP_INTERVAL = 0.020  # seconds between two checks of the whole queue
 SLOW_FACTOR = 1.5  # of the best server's time, above which a shared request waits
+DOWN_TIME = 0.5  # seconds until a server that could not be reached is tried again
 USE_WINDOW = 1.0  # seconds over which the use of a server is measured
 
 
@@ -96,6 +97,7 @@
     cold_rate: float
     cold_until: float = 0.0
     closed_at: float = math.inf
+    down_until: float = 0.0
     next_cold_send: float = 0.0
     running: dict[RequestId, _Running] = field(default_factory=dict)
     queues: list[FairQueue] = field(
@@ -109,6 +111,8 @@
     def may_send(self, now: float) -> bool:
         if len(self.running) >= self.slots or now >= self.closed_at:
             return False
+        if now < self.down_until:
+            return False
         return not self.is_cold(now) or now >= self.next_cold_send
 
     def note_sent(self, now: float) -> None:
@@ -201,6 +205,9 @@
             return Refusal(error=ServerDraining)
         if server is not None:
             self._note_offered(now, self._servers[server], request)
+            down_for = self._servers[server].down_until - now
+            if down_for > 0:
+                return _refuse_overloaded(down_for)
         if now >= request.deadline:
             return Refusal(error=DeadlineExceeded)
         wait, service = self._predict(now, request, server)
@@ -239,6 +246,8 @@
         if running is None:
             return
         latency = now - running.started
+        if outcome is Outcome.UNREACHED:
+            self._take_down(now, known)
         if outcome is Outcome.ANSWERED:
             self._model.learn(running.request.route, server, latency)
         elif outcome is Outcome.ABANDONED and latency > running.estimate:
@@ -270,6 +279,8 @@
             return None
         wake = now + SWEEP_INTERVAL
         for server in self._servers.values():
+            if server.down_until > now:
+                wake = min(wake, server.down_until)
             if len(server.running) < server.slots and server.is_cold(now):
                 wake = min(wake, max(now, server.next_cold_send))
         return wake
@@ -289,6 +300,13 @@
             use = work / (USE_WINDOW * server.slots)
             yield server.name, self._model.find_slowness(server.name), use
 
+    def _take_down(self, now: float, server: _Server) -> None:
+        """Stops sending to a server that could not be reached, for a moment."""
+        server.down_until = now + DOWN_TIME
+        for request, bound in list(self._waiting.values()):
+            if bound == server.name:
+                self._refuse(request, _refuse_overloaded(DOWN_TIME))
+
     def _note_offered(
         self, now: float, server: _Server, request: QueuedRequest
     ) -> None:
@@ -332,6 +350,7 @@
         for server in self._servers.values():
             slowness = self._model.find_slowness(server.name)
             wait = self._find_wait(now, server, ahead * slowness / share, count / share)
+            wait = max(wait, server.down_until - now)
             service = self._model.estimate(route, server.name)
             if wait + service < sum(best):
                 best = (wait, service)
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -54,9 +54,18 @@
     def __init__(self):
         self._blocks: dict[PoolId, list[_Block]] = {}
 
-    def add(self, now: float, pool: PoolId, start: int, end: int, epoch: int) -> None:
+    def add(
+        self,
+        now: float,
+        pool: PoolId,
+        start: int,
+        end: int,
+        epoch: int,
+        *,
+        seconds: float = PENDING_TIME,
+    ) -> None:
         """Blocks keys until word comes that their owner serves them."""
-        block = _Block(start=start, end=end, epoch=epoch, until=now + PENDING_TIME)
+        block = _Block(start=start, end=end, epoch=epoch, until=now + seconds)
         kept = [item for item in self._blocks.get(pool, ()) if item.until > now]
         self._blocks[pool] = [*kept, block]
 
@@ -302,7 +311,9 @@
         self._answered_at = now
         self.wallet.note_answer(now)
         if answer.tokens:
-            self.wallet.receive(now, answer.tokens, answer.pauses, answer.shares)
+            self.wallet.receive(
+                now, answer.tokens, answer.pauses, answer.shares, urgent=False
+            )
             self._on_tokens()
         sent_at = self._sent.pop(answer.sequence, None)
         if sent_at is not None and answer.revision <= self.view.revision:
@@ -351,7 +362,9 @@
     def _take_grant(self, grant: RateGrant) -> None:
         if grant.term < self._term:
             return
-        self.wallet.receive(self._clock(), grant.tokens, grant.pauses, grant.shares)
+        self.wallet.receive(
+            self._clock(), grant.tokens, grant.pauses, grant.shares, urgent=True
+        )
         self._on_tokens()
 
     def _take_status(self, push: KeyStatusPush) -> None:
--- a/src/monsoonlug/targets.py
+++ b/src/monsoonlug/targets.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from monsoonlug.admission import AdmittedRequest
+from monsoonlug.exceptions import MonsoonlugError
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import (
     Epoch,
@@ -122,6 +123,9 @@
     def note_wait(self, target: Target, wait: float) -> None:
         """Takes how many seconds a gate said that a new request would take."""
 
+    def note_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
+        """Takes why an attempt failed."""
+
     async def wait(
         self,
         admitted: AdmittedRequest,
