--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -39,6 +39,7 @@
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.logs import get_logger
 from monsoonlug.lookup import BodyLimits, ItemIndex, ServedRoute
+from monsoonlug.rates import list_limits
 from monsoonlug.refusals import build_refusal, drop_body
 from monsoonlug.subscription import Subscription
 
@@ -150,6 +151,7 @@
         self._index = ItemIndex(
             items=view.items, random=self._random, previous=self._index
         )
+        self._subscription.wallet.configure(self._clock(), list_limits(view.items))
 
     def settle_tokens(self) -> None:
         """Wakes the requests that wait for tokens."""
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -26,10 +26,10 @@
 )
 from monsoonlug.group import ControlGroup
 from monsoonlug.ids import HostId, PoolId, ServerId, WorkspaceId
-from monsoonlug.items import Item, ItemKind
+from monsoonlug.items import Item
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import Redirect
-from monsoonlug.rates import RateAuthority, RateLimit
+from monsoonlug.rates import RateAuthority, list_limits
 from monsoonlug.registrar import Registrar
 from monsoonlug.rounds import RoundQueue
 from monsoonlug.streams import MessageStream
@@ -142,7 +142,7 @@
             self._led_since = now
             self.registrar = Registrar(now=now, view=view, period=self._period)
             self._authority = RateAuthority(now=now)
-            self._authority.configure(now, list_limits(view))
+            self._authority.configure(now, list_limits(view.items))
             logger.info(
                 "Leads term {} at revision {} with {} servers.",
                 self.group.replica.term,
@@ -160,7 +160,7 @@
             changes = [messages.decode(change) for change in delta.changes]
             self.registrar.note_committed(self._clock(), changes)
             if any(isinstance(change, Item) for change in changes):
-                self._authority.configure(self._clock(), list_limits(self._view))
+                self._authority.configure(self._clock(), list_limits(self._view.items))
         for subscriber in list(self._subscribers):
             if subscriber.sent == delta.base:
                 self._send(subscriber, delta)
@@ -308,12 +308,3 @@
             continue
         rows.append([notice.pool, notice.start, notice.end, notice.epoch, notice.ready])
     return [*joined, KeyStatusPush(rows=rows)] if rows else joined
-
-
-def list_limits(view: FleetView) -> dict[WorkspaceId, RateLimit]:
-    """Returns the limits of all workspaces that have one."""
-    limits = {}
-    for item in view.items.iterate(ItemKind.WORKSPACE):
-        if item.rate > 0:
-            limits[item.name] = RateLimit(rate=item.rate, burst=item.burst)
-    return limits
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from monsoonlug.ids import HostId, WorkspaceId
+from monsoonlug.items import ItemKind, ItemTable
 
 FIRST_LEVEL = 0.25  # of the burst, in the bucket of a new leader
 SHARE_MEMORY = 4.0  # seconds over which the shares of the hosts are averaged
@@ -39,6 +40,15 @@
     burst: int
 
 
+def list_limits(items: ItemTable) -> dict[WorkspaceId, RateLimit]:
+    """Returns the limits of all workspaces that have one."""
+    limits = {}
+    for item in items.iterate(ItemKind.WORKSPACE):
+        if item.rate > 0:
+            limits[item.name] = RateLimit(rate=item.rate, burst=item.burst)
+    return limits
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RateResult:
     """Tokens granted for one ask.
