Log each decision as a bounded JSON line, serve metrics, and weigh slow servers

Cause: logs went to standard error without a bound, and nothing showed counts. Keys moved only from servers above 0.6 of their use, so slow servers stayed as busy as fast ones.

Change: BoundedOutput, Instruments, one line for each answered or refused request; servers with a higher slowness get less, and a single busy key goes to a faster server. A token whose request did not run is given back.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -16,8 +16,11 @@
 MAX_RANGES = 64  # of one server, for the same reason
 LOAD_MEMORY = 3.0  # seconds over which the requests of a key are averaged
 LEAST_RATE = 0.02  # requests per second below which a key is forgotten
-HOT_USE = 0.60  # offered load over slots above which a server gives keys away
-LEAST_GAP = 0.25  # in use between two servers that makes a move worth its pause
+HOT_PRESSURE = 0.35  # above which a server gives keys away
+LEAST_GAP = 0.20  # in pressure between two servers that makes a move worth its pause
+KEY_GAIN = 0.15  # of its use that the move of a single busy key must save
+SMALL_SHARE = 0.25  # of the wanted rate below which a part is not worth its pause
+LEAST_SHIFT = 0.5  # requests per second below which no part is worth its pause
 
 
 @dataclass(slots=True, kw_only=True)
@@ -27,6 +30,7 @@
     Attributes:
         use: Offered load over what its slots bear.
         cost: Growth of `use` for each request per second.
+        slowness: Time of a request relative to the mean of the pool.
         size: Keys that it owns.
         ranges: Ranges that it owns.
     """
@@ -35,9 +39,24 @@
     failure_domain: FailureDomain = FailureDomain("")
     use: float = 0.0
     cost: float = 0.0
+    slowness: float = 1.0
     size: int = 0
     ranges: int = 0
 
+    @property
+    def weight(self) -> float:
+        """Pressure for each unit of use.
+
+        Requests on a slow server are late even without a queue, so it gets less work
+        than what would keep its slots as busy as those of a fast one.
+        """
+        return math.sqrt(self.slowness)
+
+    @property
+    def pressure(self) -> float:
+        """Use, weighted by how late the server's answers are."""
+        return self.use * self.weight
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Shift:
@@ -119,7 +138,8 @@
     for receiver in receivers.values():
         if receiver.server in exclude or receiver.ranges >= MAX_RANGES:
             continue
-        rank = (receiver.use + rate * receiver.cost, receiver.size, receiver.server)
+        use = receiver.use + rate * receiver.cost
+        rank = (use * receiver.weight, receiver.size, receiver.server)
         if best is None or rank < best[0]:
             best = (rank, receiver)
     return best[1] if best else None
@@ -143,25 +163,27 @@
         limit: Number of shifts to plan at most.
     """
     shifts: list[Shift] = []
-    uses = {name: receiver.use for name, receiver in receivers.items()}
-    for source in sorted(uses, key=lambda name: -uses[name]):
-        if len(shifts) >= limit:
+    pressures = {name: item.pressure for name, item in receivers.items()}
+    for source in sorted(pressures, key=lambda name: -pressures[name]):
+        if len(shifts) >= limit or pressures[source] < HOT_PRESSURE:
             break
-        if source in busy or uses[source] < HOT_USE:
+        if source in busy:
             continue
-        target = min(uses, key=lambda name: (uses[name], name))
-        gap = uses[source] - uses[target]
-        if gap < LEAST_GAP:
-            break
-        costs = receivers[source].cost + receivers[target].cost
-        if costs <= 0:
+        target = min(pressures, key=lambda name: (pressures[name], name))
+        giver, taker = receivers[source], receivers[target]
+        gap = pressures[source] - pressures[target]
+        costs = giver.cost * giver.weight + taker.cost * taker.weight
+        if gap < LEAST_GAP or costs <= 0:
             continue
-        shift = _find_part(owned.get(source, []), loads, gap / costs, source)
+        rows = owned.get(source, [])
+        shift = _find_part(rows, loads, gap / costs, source)
+        if shift is None:
+            shift = _find_key(rows, loads, giver, receivers)
         if shift is None:
             continue
         shifts.append(shift)
-        uses[source] -= shift.rate * receivers[source].cost
-        uses[target] += shift.rate * receivers[target].cost
+        pressures[source] -= shift.rate * giver.cost * giver.weight
+        pressures[target] += shift.rate * taker.cost * taker.weight
     return shifts
 
 
@@ -184,12 +206,35 @@
         part = _cut_part(row, keys, wanted, source)
         if part is not None and (best is None or part.rate > best.rate):
             best = part
-    if best is None or best.rate * 4 < wanted:
-        # A small part would not be worth the pause of its keys.
-        return best if best is not None and best.rate > 1.0 else None
+    if best is None or best.rate < max(LEAST_SHIFT, SMALL_SHARE * wanted):
+        return None
     return best
 
 
+def _find_key(
+    ranges: list[KeyRange],
+    loads: KeyLoads,
+    giver: Receiver,
+    receivers: Mapping[ServerId, Receiver],
+) -> Shift | None:
+    """Returns the busiest key of a server if a faster server bears it better."""
+    busiest: tuple[float, int] | None = None
+    for row in ranges:
+        for key, rate in loads.iterate_between(row.start, row.end):
+            if busiest is None or rate > busiest[0]:
+                busiest = (rate, key)
+    if busiest is None:
+        return None
+    rate, key = busiest
+    taker = choose_receiver(receivers, rate, exclude=(giver.server,))
+    if taker is None:
+        return None
+    saved = giver.use - (taker.use + rate * taker.cost)
+    if saved < KEY_GAIN * giver.use:
+        return None
+    return Shift(start=key, end=key, source=giver.server, rate=rate)
+
+
 def _cut_part(
     row: KeyRange, keys: list[tuple[int, float]], wanted: float, source: ServerId
 ) -> Shift | None:
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -23,6 +23,7 @@
 from monsoonlug.group import ControlGroup
 from monsoonlug.groupkeeper import GroupKeeper
 from monsoonlug.ids import FailureDomain, ReplicaId, ServerId
+from monsoonlug.instruments import Instruments
 from monsoonlug.items import Item, ItemKind, ItemRemoved
 from monsoonlug.journal import FileStorage
 from monsoonlug.links import Link, Listener
@@ -58,6 +59,7 @@
         seeds: Stream addresses of replicas to begin with.
         may_found: Whether the seeds form a new group.
         period: Seconds between two heartbeats of a backend server.
+        metrics: Where counters and histograms are served, or None.
     """
 
     stream: str
@@ -65,6 +67,7 @@
     seeds: tuple[str, ...]
     may_found: bool
     period: float
+    metrics: str | None = None
 
 
 class PeerLinks(Mapping[ReplicaId, Link]):
@@ -134,6 +137,7 @@
         self._seeds = settings.seeds
         self._told: tuple[str, ...] = ()
         self._contacts: tuple[ReplicaId, ...] = ()
+        self.instruments = Instruments()
 
     async def on_start(self) -> None:
         """Opens the data folder and starts to listen."""
@@ -179,6 +183,7 @@
             serve=self._serve_stream,
         )
         await self._listener.start()
+        await self._start_metrics()
         self._spawn(self._group.run())
         self._spawn(self._decide())
         self._spawn(self._keep_members())
@@ -192,6 +197,7 @@
         """Stops to listen and closes the data folder."""
         await self._cancel_tasks()
         await self._listener.stop()
+        await self.instruments.stop()
         self._storage.close()
         logger.info("Replica {} stopped.", self._settings.stream)
 
@@ -326,6 +332,15 @@
         except TimeoutError:
             raise NotLeader() from None
 
+    async def _start_metrics(self) -> None:
+        watch = self.instruments.watch
+        watch("leader", "1 on the leader.", lambda: int(self._group.is_leader))
+        watch("term", "Term of the group.", lambda: self._replica.term)
+        watch("revision", "Revision.", lambda: self._group.state.view.revision)
+        watch("entries", "Connected entries.", lambda: self._publisher.subscribers)
+        if self._settings.metrics is not None:
+            await self.instruments.start(self._settings.metrics)
+
     def _get_registrar(self):
         if self._publisher.registrar is None or not self._group.is_leader:
             raise NotLeader()
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -20,6 +20,7 @@
 from monsoonlug.gatehost import GateHost, LiveHost
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.ingress import CallerProtocol, Ingress
+from monsoonlug.instruments import Instruments
 from monsoonlug.items import PoolItem
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
@@ -52,6 +53,7 @@
         seeds: Stream addresses of control replicas to begin with.
         revoke_bound: Seconds after which a withdrawn key must not work anywhere.
         grace: Seconds from SIGTERM until the process is killed.
+        metrics: Where counters and histograms are served, or None.
     """
 
     host: HostId
@@ -63,6 +65,7 @@
     seeds: tuple[str, ...]
     revoke_bound: float
     grace: float
+    metrics: str | None = None
 
 
 class _Hosts:
@@ -95,7 +98,7 @@
         self._runners: list[web.BaseRunner] = []
         self._sites: list[web.TCPSite] = []
         self._exchanges = ExchangeTable()
-        self._outcomes: dict[tuple[str, str], int] = {}
+        self._instruments = Instruments()
 
     async def on_start(self) -> None:
         """Starts to listen."""
@@ -145,7 +148,7 @@
             clock=read_clock,
             random=random,
             view_limit=settings.revoke_bound - REVOKE_MARGIN,
-            record=self._record,
+            record=self._instruments.count_request,
         )
         self._neighbours = NeighbourLinks(
             host=settings.host,
@@ -157,6 +160,7 @@
         )
         self._add_own_peer()
         await self._listen()
+        await self._start_metrics()
         self._spawn(self._subscription.run())
         self._spawn(self._run_watch())
         self._spawn(self._run_asks())
@@ -186,6 +190,7 @@
         await self._cancel_tasks()
         self._neighbours.stop()
         await self._listener.stop()
+        await self._instruments.stop()
         logger.info("Entry {} stopped.", self._settings.host)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -223,6 +228,20 @@
             if address == settings.listen:
                 self._sites.append(site)
 
+    async def _start_metrics(self) -> None:
+        watch = self._instruments.watch
+        watch("running", "Requests of callers.", lambda: self._ingress.running)
+        watch("at_servers", "Requests at servers.", lambda: self._gates.running)
+        watch("queued", "Requests that wait at gates.", lambda: self._gates.queued)
+        watch("view_age_seconds", "Age of the view.", self._subscription.find_age)
+        watch(
+            "view_revision",
+            "Revision of the view.",
+            lambda: self._subscription.view.revision,
+        )
+        if self._settings.metrics is not None:
+            await self._instruments.start(self._settings.metrics)
+
     async def _answer_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._ingress.is_ready() else 503)
 
@@ -280,10 +299,6 @@
     def _collect(self) -> tuple[list, list]:
         return self._ingress.take_loads(), self._gates.measure()
 
-    def _record(self, route: str, outcome: str, seconds: float) -> None:
-        key = (route, outcome)
-        self._outcomes[key] = self._outcomes.get(key, 0) + 1
-
     async def _run_watch(self) -> None:
         while True:
             await asyncio.sleep(TICK)
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -21,25 +21,22 @@
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 
-PATIENCE = (
-    0.9  # seconds that a request waits for an owner; keys move within a heartbeat
-)
+PATIENCE = 0.9  # seconds that a request waits for an owner; about one heartbeat
 FENCED_TIME = 0.25  # seconds until a server that did not hold a key is asked again
-FOREIGN_COST = 0.020  # seconds; what bytes across a border are worth in waiting time
-WAIT_MEMORY = 0.5  # seconds after which a reported wait has faded
-OWN_WEIGHT = (
-    0.5  # of a request's time, for each own request that a gate has not answered
-)
+FOREIGN_COST = 0.060  # seconds; what bytes across a border are worth in waiting time
+FIRST_WAIT = 0.150  # seconds, assumed of a gate that has not answered yet
+MOST_WAIT = 2.0  # seconds; a longer wait says no more
+WAIT_MEMORY = 0.5  # seconds after which a reported wait has faded to the usual one
+USUAL_WEIGHT = 0.05  # of one answer in the usual wait
 
 
 @dataclass(slots=True, kw_only=True)
 class _GateLoad:
     """What this host knows of the load of one gate."""
 
-    wait: float = 0.0
+    wait: float = FIRST_WAIT
+    usual: float = FIRST_WAIT
     told_at: float = 0.0
-    unanswered: int = 0
-    servers: int = 1
 
 
 class FleetFinder(TargetFinder):
@@ -82,9 +79,7 @@
         self._fleet = view
         self._closings.update(self._clock(), view)
         self._pool_gates = {}
-        for gate, servers in list_gates(view).items():
-            load = self._loads.setdefault(gate.name, _GateLoad())
-            load.servers = len(servers)
+        for gate in list_gates(view):
             if gate.pool not in view.tables:
                 self._pool_gates.setdefault(gate.pool, []).append(gate)
         self._wake_waiting()
@@ -104,8 +99,7 @@
         return self._find_gate(admitted, exclude)
 
     def start(self, admitted: AdmittedRequest, target: Target, request_id: str) -> None:
-        """Counts an attempt."""
-        self._get_load(target.server).unanswered += 1
+        """Does nothing; only the answers of a gate tell its load."""
 
     def finish(
         self,
@@ -116,15 +110,15 @@
     ) -> None:
         """Counts the end of an attempt."""
         load = self._get_load(target.server)
-        load.unanswered = max(0, load.unanswered - 1)
         if outcome is Outcome.SHED and not admitted.routing_key:
-            load.wait = max(load.wait, WAIT_MEMORY)
+            load.wait = MOST_WAIT
             load.told_at = self._clock()
 
     def note_wait(self, target: Target, wait: float) -> None:
         """Takes what a gate said of its load."""
         load = self._get_load(target.server)
         load.wait = wait
+        load.usual += USUAL_WEIGHT * (min(wait, MOST_WAIT) - load.usual)
         load.told_at = self._clock()
 
     def note_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
@@ -193,10 +187,10 @@
     def _rank_gate(self, gate: GateId) -> float:
         load = self._get_load(gate.name)
         age = self._clock() - load.told_at
-        wait = load.wait * max(0.0, 1 - age / WAIT_MEMORY)
+        recent = max(0.0, 1 - age / WAIT_MEMORY)
+        wait = load.usual + recent * (min(load.wait, MOST_WAIT) - load.usual)
         foreign = FOREIGN_COST if gate.failure_domain != self._domain else 0.0
-        own = OWN_WEIGHT * load.wait * load.unanswered / (2 * load.servers)
-        return wait + own + foreign
+        return wait + foreign
 
     def _choose_host(self, gate: GateId) -> HostId:
         ranked = self._ranks.get(gate.name)
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -452,11 +452,12 @@
         await backend.close()
 
     def _log_failure(self, job: Job, server: ServerId, error: MonsoonlugError) -> None:
-        log = logger.bind(request=job.head.request)
-        log.info(
-            "Attempt at backend server {} failed: {} ({}), {}.",
-            server,
-            error.code,
-            error,
-            error.ran.value,
-        )
+        logger.bind(
+            request=job.head.request,
+            server=server,
+            code=error.code,
+            reason=str(error),
+            ran=error.ran.value,
+            epoch=job.head.slice_epoch,
+            revision=self._view.revision,
+        ).info("Attempt failed.")
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -34,7 +34,7 @@
     UnknownRoute,
 )
 from monsoonlug.fleet import FleetView
-from monsoonlug.ids import RequestId, WorkspaceId
+from monsoonlug.ids import Ran, RequestId, WorkspaceId
 from monsoonlug.items import RouteItem, WorkspaceItem, rank_request
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.logs import get_logger
@@ -52,6 +52,7 @@
 RETRY_RESERVE = 3.0  # retries of one host that may come at once
 DEFAULT_DEADLINE = 5.0  # seconds, for a request that names none
 MOST_DEADLINE = 60.0  # seconds
+MOST_AGE = 9999.0  # seconds; JSON has no infinity
 
 logger = get_logger("front")
 
@@ -196,6 +197,9 @@
             delivery = self._build_delivery(request, admitted, caller)
             response = await delivery.run()
             outcome = "answered"
+            self._log(request_id, started, delivery).bind(
+                route=route_name, status=response.status
+            ).info("Request answered.")
             return response
         except AnswerCutOff:
             # Closing the connection shows the caller that the answer is not whole.
@@ -204,6 +208,8 @@
             raise asyncio.CancelledError from None
         except MonsoonlugError as error:
             outcome = error.code
+            if delivery is not None and error.ran is Ran.NOT_RUN:
+                self._refund(admitted)
             return self._refuse(request, request_id, error, started, delivery)
         except (ConnectionError, asyncio.CancelledError):
             outcome = "caller-left"
@@ -345,6 +351,10 @@
                 return
             self._check_pause(workspace)
 
+    def _refund(self, admitted: _Admitted) -> None:
+        if admitted.request.workspace is not None:
+            self._subscription.wallet.refund(admitted.request.workspace)
+
     def _check_pause(self, workspace: WorkspaceId) -> None:
         pause = self._subscription.wallet.find_pause(self._clock(), workspace)
         if pause > 0:
@@ -380,6 +390,16 @@
         if self.is_leaving:
             response.force_close()
 
+    def _log(self, request_id: RequestId, started: float, delivery: Delivery | None):
+        """Returns a logger with what decided about a request."""
+        return logger.bind(
+            request=request_id,
+            milliseconds=round(1000 * (self._clock() - started)),
+            sent_to=delivery.sent_to if delivery else "",
+            revision=self._subscription.view.revision,
+            view_age=round(min(self._subscription.find_age(), MOST_AGE), 3),
+        )
+
     def _refuse(
         self,
         request: web.BaseRequest,
@@ -388,18 +408,12 @@
         started: float,
         delivery: Delivery | None,
     ) -> web.Response:
-        logger.bind(request=request_id).info(
-            "Refused with {} ({}), {}, after {:.0f} ms; last sent to {}; view revision "
-            "{} of {:.2f} s ago; retry after {}.",
-            error.code,
-            error,
-            error.ran.value,
-            1000 * (self._clock() - started),
-            (delivery.sent_to if delivery else "") or "none",
-            self._subscription.view.revision,
-            self._subscription.find_age(),
-            error.retry_after,
-        )
+        self._log(request_id, started, delivery).bind(
+            code=error.code,
+            reason=str(error),
+            ran=error.ran.value,
+            retry_after=error.retry_after,
+        ).info("Request refused.")
         response = build_refusal(request_id, error)
         if error.retry_after is not None:
             pause = max(LEAST_RETRY_AFTER, error.retry_after)
--- /dev/null
+++ b/src/monsoonlug/instruments.py
@@ -0,0 +1,87 @@
+"""Counters and histograms of a daemon, served as text on an address of its own."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from monsoonlug.settings import split_address
+
+METRICS_PATH = "/metrics"
+LATENCY_BUCKETS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.5,
+    0.6,
+    0.8,
+    1.0,
+    1.5,
+    2.0,
+    5.0,
+)  # seconds; the objectives of the routes lie between 0.3 and 0.8
+
+
+class Instruments:
+    """Counters and histograms of one daemon."""
+
+    def __init__(self):
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "monsoonlug_requests",
+            "Requests of callers by route and outcome.",
+            ["route", "outcome"],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "monsoonlug_request_seconds",
+            "Time from the head of a request to the end of its answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self._calls = Counter(
+            "monsoonlug_control_calls",
+            "Calls of backend servers and operators by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self._runner: web.AppRunner | None = None
+
+    def count_request(self, route: str, outcome: str, seconds: float) -> None:
+        """Counts a request of a caller and its time."""
+        self._requests.labels(route, outcome).inc()
+        if outcome == "answered":
+            self._latency.labels(route).observe(seconds)
+
+    def count_call(self, kind: str, outcome: str) -> None:
+        """Counts a call of a backend server or operator."""
+        self._calls.labels(kind, outcome).inc()
+
+    def watch(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Adds a gauge whose value is read when it is asked for."""
+        gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
+        gauge.set_function(read)
+
+    async def start(self, address: str) -> None:
+        """Starts to serve the metrics."""
+        app = web.Application()
+        app.add_routes([web.get(METRICS_PATH, self._answer)])
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, port = split_address(address)
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Stops to serve the metrics."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        text = generate_latest(self._registry)
+        return web.Response(body=text, content_type="text/plain")
--- a/src/monsoonlug/logs.py
+++ b/src/monsoonlug/logs.py
@@ -7,8 +7,11 @@
 
 import json
 import logging
+import os
 import sys
+import time
 import traceback
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -18,6 +21,9 @@
     "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {extra[part]}: {message}{extra[id]}\n"
 )
 _JSON = "{extra[line]}\n"
+_RESERVED_FIELDS = frozenset({"part", "request", "traceback", "line", "id", "trace"})
+LINE_RATE = 100.0  # lines per second of one process; a line costs about 60 us
+LINE_BURST = 400.0  # lines
 
 
 class _LibraryHandler(logging.Handler):
@@ -39,18 +45,91 @@
         logger.bind(part=library).log(level, "{}", text)
 
 
-def configure_logs(*, log_format: str, log_level: str) -> None:
-    """Sends all logs to standard error as text or JSON.
+class BoundedOutput:
+    """Writes lines to a file without waiting, and bounds how many.
+
+    A reader that is slow, and a load that makes many lines, must not hold up requests.
+    Lines that are left out are counted, and the next line that is written says so.
+
+    Args:
+        file: Descriptor to write to.
+        rate: Lines per second.
+        burst: Lines that may come at once.
+    """
+
+    def __init__(
+        self, *, file: int, rate: float = LINE_RATE, burst: float = LINE_BURST
+    ):
+        self._file = file
+        self._rate = rate
+        self._burst = burst
+        self._level = burst
+        self._filled_at = time.monotonic()
+        self._unwritten = b""
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Writes a line, or counts it as left out."""
+        now = time.monotonic()
+        refill = (now - self._filled_at) * self._rate
+        self._level = min(self._burst, self._level + refill)
+        self._filled_at = now
+        if self._level < 1 or not self._flush():
+            self.dropped += 1
+            return
+        self._level -= 1
+        if self.dropped:
+            note = {"part": "logs", "message": f"{self.dropped} lines were left out."}
+            text = json.dumps(note) + "\n" + text
+            self.dropped = 0
+        self._unwritten = text.encode()
+        self._flush()
+
+    def _flush(self) -> bool:
+        """Writes what is left of the last line; returns whether all of it is out."""
+        if not self._unwritten:
+            return True
+        try:
+            written = os.write(self._file, self._unwritten)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads the log any more; there is no other place to say so.
+            self.dropped += 1
+            self._unwritten = b""
+            return True
+        self._unwritten = self._unwritten[written:]
+        return not self._unwritten
+
+
+def configure_bounded_logs(*, log_level: str) -> BoundedOutput:
+    """Sends all logs to standard output as JSON lines that never block.
+
+    Args:
+        log_level: Lowest level shown; see `configure_logs`.
+    """
+    file = sys.stdout.fileno()
+    os.set_blocking(file, False)
+    output = BoundedOutput(file=file)
+    configure_logs(log_format="json", log_level=log_level, write=output.write)
+    return output
+
+
+def configure_logs(
+    *, log_format: str, log_level: str, write: Callable[[str], None] | None = None
+) -> None:
+    """Sends all logs to standard error, or elsewhere, as text or JSON.
 
     Args:
         log_format: `text` or `json`.
         log_level: Lowest level shown. Libraries are shown from WARNING on, or from
             DEBUG on if this is DEBUG.
+        write: Takes each line instead of standard error.
     """
     logger.remove()
     logger.configure(extra={"part": "main", "request": ""}, patcher=_strip_exception)
     form = _format_json if log_format == "json" else _format_text
-    logger.add(_write, level=log_level, format=form)
+    logger.add(write or _write, level=log_level, format=form)
     level = logging.DEBUG if log_level == "DEBUG" else logging.WARNING
     logging.basicConfig(handlers=[_LibraryHandler()], level=level, force=True)
     logging.captureWarnings(True)
@@ -121,6 +200,9 @@
     request = record["extra"].get("request")
     if request:
         document["request"] = request
+    for name, value in record["extra"].items():
+        if name not in _RESERVED_FIELDS:
+            document[name] = value
     if record["extra"]["traceback"]:
         document["traceback"] = record["extra"]["traceback"]
     record["extra"]["line"] = json.dumps(document)
--- a/src/monsoonlug/platform/__main__.py
+++ b/src/monsoonlug/platform/__main__.py
@@ -12,7 +12,7 @@
 from monsoonlug.exceptions import InvalidFile
 from monsoonlug.fleet_control import FleetControlService
 from monsoonlug.fleet_entry import FleetEntryService
-from monsoonlug.logs import configure_logs, get_logger
+from monsoonlug.logs import configure_bounded_logs, get_logger
 from monsoonlug.platform.headers import PlatformCallers, open_backend
 from monsoonlug.platform.interface import ControlInterface
 from monsoonlug.platform.settings import SETTINGS_VARIABLE, NodeFile
@@ -102,7 +102,7 @@
 
 def run(service: type[PlatformControl] | type[PlatformEntry]) -> None:
     """Runs a daemon with the settings that the environment names."""
-    configure_logs(log_format="json", log_level="INFO")
+    configure_bounded_logs(log_level="INFO")
     try:
         daemon = service(path=Path(os.environ.get(SETTINGS_VARIABLE, "node.json")))
     except InvalidFile as error:
--- a/src/monsoonlug/platform/interface.py
+++ b/src/monsoonlug/platform/interface.py
@@ -66,14 +66,21 @@
     def _guard(
         self, handle: Callable[[web.Request], Awaitable[web.Response]]
     ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        kind = handle.__name__.strip("_")
+
         async def guarded(request: web.Request) -> web.Response:
+            outcome = "done"
             try:
                 return await handle(request)
-            except NotLeader:
+            except NotLeader as error:
+                outcome = error.code
                 return self._redirect(request)
             except (BadRequest, ControlUnreachable) as error:
+                outcome = error.code
                 logger.info("Refused {}: {} ({}).", request.path, error.code, error)
                 return _build_error(error)
+            finally:
+                self._control.instruments.count_call(kind, outcome)
 
         return guarded
 
--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -12,6 +12,7 @@
 
 SETTINGS_VARIABLE = "MONSOONLUG_NODE_FILE"
 READINESS_PATH = "/monsoonlug/readyz"
+METRICS_PORT = 9464  # the port that ../../../deploy/system.toml names
 FIRST_HEARTBEAT = "1s"  # assumed where the settings name none
 NO_BOUND = "86400s"  # for a bound that is not in force
 
@@ -48,6 +49,7 @@
             seeds=self.list_seeds(),
             may_found=self._read("bootstrap", bool, False),
             period=self._read_time("heartbeat", FIRST_HEARTBEAT),
+            metrics=self._find_metrics(),
         )
         self._check()
         return settings
@@ -73,6 +75,7 @@
                 "bounds", bounds.get("revoke", NO_BOUND) if is_strict else NO_BOUND
             ),
             grace=self._parse("bounds", bounds.get("grace", "6s")),
+            metrics=self._find_metrics(),
         )
         self._check()
         return settings
@@ -99,6 +102,9 @@
     def _find_stream(self) -> str:
         return f"{self._read('ip', str, '')}:{self._find_port()}"
 
+    def _find_metrics(self) -> str:
+        return f"{self._read('ip', str, '')}:{METRICS_PORT}"
+
     def _find_port(self) -> int:
         # The range is the same on all machines of an installation.
         ports = self._read("internalPortRange", list, [0, 0])
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -222,6 +222,12 @@
         purse.used_at = now
         return True
 
+    def refund(self, workspace: WorkspaceId) -> None:
+        """Gives a token back whose request was refused without running."""
+        purse = self._purses.get(workspace)
+        if purse is not None:
+            purse.tokens += 1
+
     def find_pause(self, now: float, workspace: WorkspaceId) -> float:
         """Returns seconds for which the leader said that there are no tokens."""
         purse = self._purses.get(workspace)
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -46,6 +46,7 @@
 FIRST_HANDOFF = 0.20  # seconds that a server takes to release keys after an answer
 LAST_HANDOFF = 0.60  # seconds after which keys would wait too long for their new owner
 PATIENT_TICKS = 6  # heartbeats for which a source waits for a receiver in time
+WORSE_OWNER = 0.3  # in pressure, above which a timely receiver is not taken
 SHIFT_SHARE = 0.25  # of the servers that may give keys away at the same time
 USE_WEIGHT = 0.3  # of a new report in a server's average use
 
@@ -328,7 +329,7 @@
             receivers[record.server] = Receiver(
                 server=record.server,
                 failure_domain=record.failure_domain,
-                use=live.use,
+                slowness=live.slowness,
             )
         rates = dict.fromkeys(receivers, 0.0)
         for row in table.iterate():
@@ -352,17 +353,17 @@
     ) -> None:
         # The work of a request, on a server of the pool's mean speed with one slot.
         work = 0.0
-        for server, receiver in receivers.items():
+        for server in receivers:
             live = self._live[server]
             slots = self._view.servers[server].slots
-            work += receiver.use * slots / live.slowness
+            work += live.use * slots / live.slowness
         total = sum(rates.values())
         work = work / total if total > 0 else 0.0
         for server, receiver in receivers.items():
-            live = self._live[server]
-            receiver.cost = work * live.slowness / self._view.servers[server].slots
-            # Counts follow a change of the load sooner than measured use does.
-            receiver.use = max(receiver.use, rates[server] * receiver.cost)
+            slots = self._view.servers[server].slots
+            receiver.cost = work * receiver.slowness / slots
+            # Counts of keys follow a move at once, unlike the measured use.
+            receiver.use = rates[server] * receiver.cost
 
     def _is_silent(self, now: float, live: _Live) -> bool:
         return now - live.heard_at > SILENT_BEATS * self._period
@@ -525,7 +526,7 @@
         if found is None:
             return None if patient else best
         # Waiting for a heartbeat costs less than an owner with much more to do.
-        if best is not None and found.use > best.use + 0.3:
+        if best is not None and found.pressure > best.pressure + WORSE_OWNER:
             return None if patient else best
         return found
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,235 @@
+import ast
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from monsoonlug.exceptions import BadRequest, InvalidFile
+from monsoonlug.items import ItemKind, ItemRemoved, RouteItem
+from monsoonlug.keyranges import KeyRange
+from monsoonlug.platform.documents import (
+    build_beat_answer,
+    build_items,
+    read_beat,
+    read_patch,
+)
+from monsoonlug.platform.headers import PlatformCallers
+from monsoonlug.platform.settings import NodeFile
+from monsoonlug.registrar import HoldAnswer
+
+SOURCES = Path(__file__).parent.parent / "src" / "monsoonlug"
+WIRE_NAMES = re.compile(
+    r"X-Monsoonlug|Instances\.|Config\.(Patch|Get)|Evacuations|warmupLeft|apiKeys"
+    r"|maxAttempts|trafficSplit|ratePerS|heartbeatUrl|resourceType|pathPrefix"
+)
+BEAT = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "east",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "warmupLeft": "1500ms",
+    "sequence": 4,
+    "born": 1700000000000,
+    "holds": [[0, 9, 7]],
+    "freed": [[10, 19, "token"]],
+}
+
+
+def list_modules():
+    return [path for path in SOURCES.glob("*.py")]
+
+
+def build_resource(kind, name, spec, version="0000000c"):
+    metadata = {"version": version} | ({"name": name} if name else {})
+    return {"resourceType": kind, "metadata": metadata, "spec": spec}
+
+
+def build_route_spec(**changes):
+    return {
+        "host": "a.example",
+        "pathPrefix": "/a/",
+        "type": "safe",
+        "timeout": "1500ms",
+        "targetLatency": "0.6s",
+        "priority": 2,
+        "service": "desk",
+        "maxAttempts": 2,
+        "public": False,
+    } | changes
+
+
+def build_patch(*resources, remove=None):
+    return json.dumps(
+        {"upsert": {"resources": list(resources)}, "remove": remove or {}}
+    ).encode()
+
+
+def test_only_the_package_itself_imports_the_adapter():
+    """Guards against decisions that depend on the platform."""
+    for path in list_modules():
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = []
+            if isinstance(node, ast.ImportFrom):
+                names = [node.module or ""]
+            elif isinstance(node, ast.Import):
+                names = [alias.name for alias in node.names]
+            assert not any(name.startswith("monsoonlug.platform") for name in names)
+
+
+def test_wire_names_stand_in_the_adapter_only():
+    """Guards against names of the platform inside the product."""
+    for path in list_modules():
+        assert not WIRE_NAMES.search(path.read_text()), path.name
+
+
+def test_adapter_is_a_small_part():
+    """Guards against an adapter that grows into a second product."""
+    adapter = sum(
+        len(path.read_text().splitlines()) for path in SOURCES.glob("platform/*.py")
+    )
+    product = sum(len(path.read_text().splitlines()) for path in list_modules())
+    assert adapter < (adapter + product) / 10
+
+
+def test_heartbeat_is_decoded():
+    """Guards against fields that are taken for others."""
+    beat = read_beat("i-1", json.dumps(BEAT).encode())
+    assert beat.server == "i-1"
+    assert (beat.pool, beat.failure_domain, beat.slots) == ("desk", "east", 2)
+    assert (beat.sequence, beat.born, beat.cold_seconds) == (4, 1700000000000, 1.5)
+    assert beat.held == ((0, 9, 7),)
+    assert beat.freed == ((10, 19, "token"),)
+    assert not beat.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "dancing"},
+        {"state": None},
+        {"service": 7},
+        {"capacity": "two"},
+        {"capacity": 0},
+        {"capacity": True},
+        {"sequence": 1.5},
+        {"address": "nowhere"},
+        {"warmupLeft": 15},
+        {"warmupLeft": "soon"},
+        {"holds": [[0, 9]]},
+        {"holds": [[9, 0, 7]]},
+        {"holds": "all"},
+        {"freed": [[0, 70000, "token"]]},
+        {"born": "today"},
+    ],
+    ids=str,
+)
+def test_foreign_heartbeats_are_refused(change):
+    """Guards against heartbeats of another writer that name a server to use."""
+    with pytest.raises(BadRequest):
+        read_beat("i-1", json.dumps(BEAT | change).encode())
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null"])
+def test_unreadable_bodies_are_refused(body):
+    """Guards against an error that is not told to the sender."""
+    with pytest.raises(BadRequest):
+        read_beat("i-1", body)
+    with pytest.raises(BadRequest):
+        read_patch(body)
+
+
+def test_answer_lists_ranges_with_their_handover():
+    """Guards against a new holder that starts without the last one's state."""
+    rows = [KeyRange(start=0, end=9, owner="i-1", epoch=12, handover="token")]
+    body = build_beat_answer(HoldAnswer(ranges=rows, hold_time=4.0), "http://x/y")
+    assert json.loads(body) == {
+        "heartbeatUrl": "http://x/y",
+        "holds": [[0, 9, 12, "token"]],
+        "hold_time": "4000ms",
+    }
+    assert json.loads(build_beat_answer(None, "")) == {}
+
+
+def test_answer_stays_below_the_size_that_servers_read():
+    """Guards against an answer that a server takes for none."""
+    rows = [
+        KeyRange(start=60000 + i, end=60000 + i, owner="i", epoch=10**6, handover="f")
+        for i in range(64)
+    ]
+    assert len(build_beat_answer(HoldAnswer(ranges=rows), "http://x" * 8)) < 4096
+
+
+def test_patch_is_decoded_and_kept_as_it_came():
+    """Guards against items that are read back otherwise than they were sent."""
+    route = build_resource("routes", "r1", build_route_spec(note="kept"))
+    changes, sources = read_patch(
+        build_patch(route, remove={"routes": [{"name": "r2", "version": "00000010"}]})
+    )
+    assert isinstance(changes[0], RouteItem)
+    assert (changes[0].version, changes[0].timeout) == (12, 1.5)
+    assert changes[0].objective == 0.6
+    assert changes[1] == ItemRemoved(kind=ItemKind.ROUTE, name="r2", version=16)
+    rows = [(ItemKind.ROUTE, "r1", sources[0])]
+    assert json.loads(build_items(rows)) == {"resources": [route]}
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        build_route_spec(maxAttempts=0),
+        build_route_spec(host=""),
+        build_route_spec(type="maybe"),
+        build_route_spec(timeout="1500"),
+        build_route_spec(trafficSplit=[{"service": "desk"}]),
+        build_route_spec(trafficSplit=[]),
+        build_route_spec(pathPrefix="a"),
+        {},
+    ],
+)
+def test_invalid_routes_are_refused(spec):
+    """Guards against a configuration that cannot be served."""
+    with pytest.raises(BadRequest):
+        read_patch(build_patch(build_resource("routes", "r1", spec)))
+
+
+def test_headers_of_callers_are_decoded():
+    """Guards against deadlines and keys that are taken for others."""
+    callers = PlatformCallers()
+    found = callers.read_headers(
+        {
+            "x-monsoonlug-request-id": ["9c41"],
+            "x-monsoonlug-deadline-ms": ["1500"],
+            "x-monsoonlug-shard-key": ["0"],
+            "authorization": ["Bearer secret"],
+        }
+    )
+    assert (found.request_id, found.remaining) == ("9c41", 1.5)
+    assert (found.routing_key, found.workspace_key) == (0, "secret")
+    assert "x-monsoonlug-tenant-id" in callers.own_headers
+
+
+@pytest.mark.parametrize(
+    "named",
+    [
+        {"x-monsoonlug-deadline-ms": ["soon"]},
+        {"x-monsoonlug-shard-key": ["1", "2"]},
+        {"authorization": ["Bearer a", "Bearer b"]},
+    ],
+)
+def test_malformed_headers_are_refused(named):
+    """Guards against a request for which two hosts read different things."""
+    with pytest.raises(BadRequest):
+        PlatformCallers().read_headers(named)
+
+
+def test_settings_errors_are_told_all_at_once(tmp_path):
+    """Guards against a daemon that starts with half of its settings."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({"zone": 7, "heartbeat": "often"}))
+    with pytest.raises(InvalidFile) as caught:
+        NodeFile(path).build_entry()
+    paths = {problem.path for problem in caught.value.problems}
+    assert {"$.zone", "$.nodeName", "$.ip", "$.listen.front"} <= paths
