End connections at a planned stop, keep streams to leaving hosts, reserve cut off shares

Change: streams linger for 10 s; the stop closes idle connections and waits for the others. The leader reserves the shares of silent hosts, and a new leader goes by the shares that hosts were told before.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -31,6 +31,7 @@
 from monsoonlug.subscription import ROLE, EntryIdentity, Subscription
 
 BOOT_SIZE = 8  # bytes
+LINGER_TIME = 10.0  # seconds; more than a host takes to stop
 ASK_TICK = 0.050  # seconds between two looks at the tokens that are wanted
 LEAVE_NOTICE = 2.6  # seconds; the balancer asks every second and goes by two answers
 END_MARGIN = 0.7  # seconds of the grace time that are left for closing
@@ -96,7 +97,8 @@
         self._caller_protocol = caller_protocol
         self._open_backend = open_backend
         self._runners: list[web.BaseRunner] = []
-        self._sites: list[web.TCPSite] = []
+        self._known: dict[HostId, LiveHost] = {}
+        self._left: dict[HostId, float] = {}
         self._exchanges = ExchangeTable()
         self._instruments = Instruments()
 
@@ -174,19 +176,19 @@
         self._subscription.is_leaving = True
         self._subscription.beat()
         await asyncio.sleep(LEAVE_NOTICE)
-        for site in self._sites:
-            await site.stop()
         until = began + self._settings.grace - END_MARGIN
-        while self._ingress.running or self._gates.running:
-            if read_clock() >= until:
-                logger.warning(
-                    "Stops with {} requests of callers and {} at gates under way.",
-                    self._ingress.running,
-                    self._gates.running,
-                )
-                break
-            await asyncio.sleep(POLL_INTERVAL)
+        # Idle connections are closed at once, the others after their answers.
+        for runner in self._runners:
+            await runner.cleanup()
         self._ingress.is_closed = True
+        while self._gates.running and read_clock() < until:
+            await asyncio.sleep(POLL_INTERVAL)
+        if self._ingress.running or self._gates.running:
+            logger.warning(
+                "Stops with {} requests of callers and {} at gates under way.",
+                self._ingress.running,
+                self._gates.running,
+            )
         await self._cancel_tasks()
         self._neighbours.stop()
         await self._listener.stop()
@@ -215,18 +217,16 @@
         )
         app = web.Application()
         app.add_routes([web.get(settings.readiness_path, self._answer_readiness)])
+        patience = max(0.0, settings.grace - LEAVE_NOTICE - END_MARGIN)
         self._runners = [
-            web.ServerRunner(server),
+            web.ServerRunner(server, shutdown_timeout=patience),
             web.AppRunner(app, access_log=None),
         ]
         addresses = (settings.listen, settings.readiness)
         for runner, address in zip(self._runners, addresses, strict=True):
             await runner.setup()
             host, port = split_address(address)
-            site = web.TCPSite(runner, host, port, backlog=512)
-            await site.start()
-            if address == settings.listen:
-                self._sites.append(site)
+            await web.TCPSite(runner, host, port, backlog=512).start()
 
     async def _start_metrics(self) -> None:
         watch = self._instruments.watch
@@ -293,9 +293,24 @@
     def _take_hosts(self, hosts: list[LiveHost]) -> None:
         names = ", ".join(host.host for host in hosts)
         logger.info("Live entries are {}.", names)
-        self._neighbours.update(_Hosts(hosts={host.host: host for host in hosts}))
+        now = read_clock()
+        live = {host.host: host for host in hosts}
+        for host in set(self._known) - set(live):
+            self._left.setdefault(host, now)
+        self._known |= live
+        for host in live:
+            self._left.pop(host, None)
+        self._fit_neighbours(now)
         self._finder.update_hosts(hosts)
 
+    def _fit_neighbours(self, now: float) -> None:
+        """Keeps streams to hosts that left for as long as answers may come."""
+        for host, since in list(self._left.items()):
+            if now - since > LINGER_TIME:
+                del self._left[host]
+                del self._known[host]
+        self._neighbours.update(_Hosts(hosts=self._known))
+
     def _collect(self) -> tuple[list, list]:
         return self._ingress.take_loads(), self._gates.measure()
 
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -161,7 +161,8 @@
         loads: Rows of pool, key and requests since the last beat.
         servers: Rows of server, slowness relative to its pool and offered load over its
             slots.
-        wanted: Pairs of urgent and spare tokens, by workspace.
+        wanted: Urgent and spare tokens, and the share that the last leader told, by
+            workspace.
     """
 
     sequence: int
@@ -256,7 +257,8 @@
     """Asks for tokens.
 
     Attributes:
-        wanted: Pairs of urgent and spare tokens, by workspace.
+        wanted: Urgent and spare tokens, and the share that the last leader told, by
+            workspace.
     """
 
     sequence: int
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -191,7 +191,9 @@
     def _take_beat(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
         now = self._clock()
         self._hosts[HostId(beat.host)] = _Host(beat=beat, heard_at=now)
+        self._authority.hear(now, HostId(beat.host))
         if beat.leaving:
+            self._authority.forget(HostId(beat.host))
             self._list_hosts(now)
         for pool, key, count in beat.loads:
             self.registrar.take_load(PoolId(pool), key, count)
@@ -225,9 +227,9 @@
             pauses={},
             shares={},
         )
-        for workspace, (urgent, spare) in wanted.items():
+        for workspace, (urgent, spare, share) in wanted.items():
             result = self._authority.grant(
-                now, HostId(host), WorkspaceId(workspace), urgent, spare
+                now, HostId(host), WorkspaceId(workspace), urgent, spare, share
             )
             grant.tokens[workspace] = result.tokens
             grant.shares[workspace] = round(result.share, 3)
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -18,11 +18,17 @@
 SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
 SPARE_TIME = 0.8  # seconds of a host's demand that it keeps as spare tokens
 SPARE_MEMORY = 1.0  # seconds for which spare tokens count as held by their host
+SILENT_TIME = 0.9  # seconds without a beat after which a host may refill itself
+RESERVE_TIME = 12.0  # seconds; longer than a cut after which a view is too old
+CLAIM_TIME = 6.0  # seconds for which a new leader goes by the shares of the last one
+FIRST_RATE = 0.9  # of what is claimed, that a new leader gives away in that time
+NO_SHARE = -1.0  # of a host that was told none
 ASK_TIMEOUT = 0.150  # seconds without an answer until a host asks again
 ANSWER_TIMEOUT = 1.000  # seconds without an answer, of two beats, until it refills
 IDLE_TIME = 2.0  # seconds after which a host drops tokens that it does not use
 DEMAND_MEMORY = 2.0  # seconds over which a host's demand is averaged
 LEAST_DEMAND = 0.2  # requests per second below which a host keeps no tokens
+REFILL_SHARE = 0.75  # of its share, as others' shares may have grown since it was told
 FIRST_SHARE = 0.05  # of the rate, for a host that was told no share yet
 LEAST_PAUSE = 0.050  # seconds
 
@@ -70,6 +76,8 @@
     filled_at: float
     spare: float = 0.0
     granted: dict[HostId, float] = field(default_factory=dict)
+    reserved: dict[HostId, float] = field(default_factory=dict)
+    claimed: dict[HostId, float] = field(default_factory=dict)
 
 
 class RateAuthority:
@@ -81,7 +89,19 @@
 
     def __init__(self, *, now: float):
         self._buckets: dict[WorkspaceId, _Bucket] = {}
+        self._began_at = now
         self._aged_at = now
+        self._heard: dict[HostId, float] = {}
+
+    def hear(self, now: float, host: HostId) -> None:
+        """Notes that a host is heard; a silent one refills itself at its share."""
+        self._heard[host] = now
+
+    def forget(self, host: HostId) -> None:
+        """Takes that a host is shutting down and spends nothing more."""
+        self._heard.pop(host, None)
+        for bucket in self._buckets.values():
+            bucket.reserved.pop(host, None)
 
     def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
         """Puts limits in force."""
@@ -105,6 +125,7 @@
         workspace: WorkspaceId,
         urgent: int,
         spare: int,
+        share: float = NO_SHARE,
     ) -> RateResult:
         """Grants tokens to a host.
 
@@ -114,11 +135,13 @@
             workspace: The workspace.
             urgent: Tokens that requests wait for.
             spare: Tokens that the host expects to need soon.
+            share: Share of the rate that the last leader told the host, or `NO_SHARE`.
         """
         bucket = self._buckets.get(workspace)
         if bucket is None:
             return RateResult(tokens=urgent + spare, pause=0.0, share=1.0)
         self._age(now)
+        bucket.claimed.setdefault(host, share)
         self._fill(now, bucket)
         tokens = min(urgent, int(bucket.level))
         missing = urgent - tokens
@@ -138,7 +161,10 @@
         elapsed = max(0.0, now - bucket.filled_at)
         bucket.filled_at = now
         bucket.spare *= math.exp(-elapsed / SPARE_MEMORY)
-        filled = bucket.level + elapsed * bucket.limit.rate
+        rate = bucket.limit.rate * (1 - sum(bucket.reserved.values()))
+        if now - self._began_at < CLAIM_TIME:
+            rate *= _sum_claims(bucket)
+        filled = bucket.level + elapsed * max(0.0, rate)
         # Spare tokens that the hosts still hold can be spent in the same window.
         bucket.level = min(filled, max(0.0, bucket.limit.burst - bucket.spare))
 
@@ -148,11 +174,37 @@
         factor = math.exp(-(now - self._aged_at) / SHARE_MEMORY)
         self._aged_at = now
         for bucket in self._buckets.values():
+            self._reserve(now, bucket)
             for host in list(bucket.granted):
                 bucket.granted[host] *= factor
                 if bucket.granted[host] < 0.01:
                     del bucket.granted[host]
 
+    def _reserve(self, now: float, bucket: _Bucket) -> None:
+        """Keeps the shares of silent hosts, which may go on spending them."""
+        for host in list(bucket.granted):
+            if now - self._heard.get(host, now) > SILENT_TIME:
+                bucket.reserved[host] = _find_share(bucket, host)
+                del bucket.granted[host]
+        for host in list(bucket.reserved):
+            silence = now - self._heard.get(host, -math.inf)
+            if silence <= SILENT_TIME:
+                share = bucket.reserved.pop(host)
+                bucket.granted[host] = share * sum(bucket.granted.values())
+            elif silence > RESERVE_TIME:
+                del bucket.reserved[host]
+
+
+def _sum_claims(bucket: _Bucket) -> float:
+    """Returns the part of the rate that a new leader may give away.
+
+    What no host that is heard claims may be spent by those that are not heard.
+    """
+    claims = [share for share in bucket.claimed.values() if share >= 0]
+    if not claims:
+        return 1.0
+    return FIRST_RATE * min(1.0, sum(claims))
+
 
 def _find_share(bucket: _Bucket, host: HostId) -> float:
     total = sum(bucket.granted.values())
@@ -164,7 +216,7 @@
     limit: RateLimit
     filled_at: float
     tokens: float = 0.0
-    share: float = FIRST_SHARE
+    share: float = NO_SHARE
     demand: float = 0.0
     demand_at: float = 0.0
     used_at: float = 0.0
@@ -239,7 +291,7 @@
         if purse is not None:
             purse.waiting = max(0, purse.waiting + change)
 
-    def build_urgent(self, now: float) -> dict[str, list[int]]:
+    def build_urgent(self, now: float) -> dict[str, list[float]]:
         """Returns the tokens that requests wait for; empty if none does."""
         wanted = {}
         for workspace, purse in self._purses.items():
@@ -252,17 +304,17 @@
                 continue
             purse.asked += urgent
             purse.asked_at = now
-            wanted[workspace] = [urgent, 0]
+            wanted[workspace] = [urgent, 0, purse.share]
         return wanted
 
-    def build_spare(self, now: float) -> dict[str, list[int]]:
+    def build_spare(self, now: float) -> dict[str, list[float]]:
         """Returns the tokens to ask for with a beat."""
         wanted = {}
         for workspace, purse in self._purses.items():
             self._drop_idle(now, purse)
             spare = self._count_spare(now, purse)
             if spare:
-                wanted[workspace] = [0, spare]
+                wanted[workspace] = [0, spare, purse.share]
         return wanted
 
     def _count_spare(self, now: float, purse: _Purse) -> int:
@@ -305,7 +357,8 @@
         purse.filled_at = now
         if not self.is_cut_off(now):
             return
-        rate = purse.limit.rate * purse.share
+        share = purse.share if purse.share >= 0 else FIRST_SHARE
+        rate = purse.limit.rate * share * REFILL_SHARE
         # Not more than one second's share is kept, as no one knows for how long.
         purse.tokens = min(max(1.0, rate, purse.tokens), purse.tokens + elapsed * rate)
 
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -33,6 +33,8 @@
 COLD_SHARE = 1.1  # of the rate that a cold server bears; it bears 1.5 for a second
 LEAST_RETRY_AFTER = 0.050  # seconds
 MOST_RETRY_AFTER = 2.0  # seconds
+LEAST_CHANCE = 0.7  # of a request's usual time, in which it may still end
+LEAST_PATIENCE = 0.3  # of a request's time, that it may wait on a slow server
 SWEEP_INTERVAL = 0.020  # seconds between two checks of the whole queue
 SLOW_FACTOR = 1.5  # of the best server's time, above which a shared request waits
 DOWN_TIME = 0.5  # seconds until a server that could not be reached is tried again
@@ -212,8 +214,12 @@
             return Refusal(error=DeadlineExceeded)
         wait, service = self._predict(now, request, server)
         late = now + wait + service + RETURN_TIME - request.deadline
-        if late > 0:
+        # A free server is always tried, or one slow answer would close it for good.
+        if late > 0 and wait > 0:
             return _refuse_overloaded(late)
+        too_long = wait - self._find_patience(now, request, service)
+        if too_long > 0:
+            return _refuse_overloaded(too_long)
         self._waiting[request.request_id] = (request, server)
         self._find_queues(server)[request.request_class.value].push(request)
         return None
@@ -228,7 +234,7 @@
             request, server = found
             del self._waiting[request.request_id]
             estimate = self._model.estimate(request.route, server.name)
-            if now + 0.5 * estimate > request.deadline:
+            if server.running and now + 0.5 * estimate > request.deadline:
                 self._refused.append((request, _refuse_overloaded(estimate)))
                 continue
             server.note_sent(now)
@@ -315,6 +321,17 @@
         while server.offered[0][0] < now - USE_WINDOW:
             server.offered.popleft()
 
+    def _find_patience(
+        self, now: float, request: QueuedRequest, service: float
+    ) -> float:
+        """Returns the seconds for which a request may wait.
+
+        A longer queue would serve as many requests, but each of them late. What waits
+        longer is refused at once and can come back when there is room.
+        """
+        spare = request.objective - now - service - RETURN_TIME
+        return max(LEAST_PATIENCE * service, spare)
+
     def _find_queues(self, server: ServerId | None) -> list[FairQueue]:
         if server is None:
             return self._shared
@@ -409,7 +426,7 @@
                 self._refuse(request, Refusal(error=ServerDraining))
                 continue
             service = self._estimate_service(request, server)
-            if now + service + RETURN_TIME <= request.deadline:
+            if now + LEAST_CHANCE * service <= request.deadline:
                 continue
             self._refuse(request, _refuse_overloaded(service))
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -30,6 +30,7 @@
             wallet.configure(0.0, self.limits)
         self.delay = delay
         self.has_leader = True
+        self.cut_off = set()
         self.answers = []
         self.waiting = [[] for _ in range(hosts)]
         self.spent = []
@@ -75,7 +76,8 @@
             if is_beat:
                 asks.append((wallet.build_spare(self.now), False))
             for ask, urgent in asks:
-                if self.has_leader and (ask or is_beat):
+                is_heard = self.has_leader and host not in self.cut_off
+                if is_heard and (ask or is_beat):
                     at = self.now + self.delay
                     self.answers.append((at, host, ask, urgent))
 
@@ -85,9 +87,10 @@
         for _, host, ask, urgent in due:
             wallet = self.wallets[host]
             wallet.note_answer(self.now)
-            for workspace, (wanted, spare) in ask.items():
+            self.authority.hear(self.now, f"h{host}")
+            for workspace, (wanted, spare, share) in ask.items():
                 result = self.authority.grant(
-                    self.now, f"h{host}", workspace, wanted, spare
+                    self.now, f"h{host}", workspace, wanted, spare, share
                 )
                 pauses = {workspace: result.pause} if result.pause else {}
                 wallet.receive(
@@ -172,3 +175,22 @@
         tenant.elect()
         tenant.run(2.5, 6 * rate)
     assert tenant.find_most() <= tenant.bound
+
+
+@pytest.mark.parametrize("new_leader", [False, True])
+def test_limit_holds_while_some_hosts_are_cut_off(new_leader):
+    """Guards against shares that are spent by cut off hosts and by the others.
+
+    The pattern: a flood, while a third of the hosts cannot reach control.
+    """
+    tenant = Tenant(rate=61, burst=61, hosts=9)
+    tenant.run(5.0, 30)
+    tenant.cut_off = {0, 1, 2}
+    if new_leader:
+        tenant.run(0.5, 400)
+        tenant.has_leader = False
+        tenant.answers = []
+        tenant.run(1.0, 400)
+        tenant.elect()
+    tenant.run(6.0, 400)
+    assert tenant.find_most() <= tenant.bound
