Elect a leader soon after a start, and learn which machines are slow at the moment

Cause: after a power loss replicas waited for a whole election timeout, and entries for 1.5 s until they knew each other; the gate of a pool chose servers by their mean speed.

Change: the first election comes 0.1 to 0.3 s after a start (a pre-vote keeps it from disturbing a leader), the live entries are listed 0.6 s after an election, and a shared request goes by the slowdown that a server's last answer reports.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -109,7 +109,14 @@
 
 
 class BackendProtocol(ABC):
-    """How requests reach one backend server."""
+    """How requests reach one backend server.
+
+    Attributes:
+        slowdown: How much longer than usual work takes on the server's machine at the
+            moment, by its last answer; 1 if it does not say.
+    """
+
+    slowdown: float = 1.0
 
     @abstractmethod
     async def send(
--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -18,6 +18,7 @@
 LEAST_RATE = 0.02  # requests per second below which a key is forgotten
 HOT_PRESSURE = 0.35  # above which a server gives keys away
 LEAST_GAP = 0.20  # in pressure between two servers that makes a move worth its pause
+SLOW_EXPONENT = 0.5  # of the slowness, in the pressure on a server
 KEY_GAIN = 0.15  # of its use that the move of a single busy key must save
 SMALL_SHARE = 0.25  # of the wanted rate below which a part is not worth its pause
 LEAST_SHIFT = 0.5  # requests per second below which no part is worth its pause
@@ -50,7 +51,7 @@
         Requests on a slow server are late even without a queue, so it gets less work
         than what would keep its slots as busy as those of a fast one.
         """
-        return math.sqrt(self.slowness)
+        return self.slowness**SLOW_EXPONENT
 
     @property
     def pressure(self) -> float:
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -39,7 +39,12 @@
 # Failover takes up to a second, which leases of seconds cover. Shorter times would
 # start elections whenever a small host's processor or disk is slow for a moment.
 FLEET_TIMES = ConsensusTimes(
-    heartbeat=0.100, election_min=0.450, election_max=0.900, quorum=0.900
+    heartbeat=0.100,
+    election_min=0.450,
+    election_max=0.900,
+    quorum=0.900,
+    start_min=0.100,
+    start_max=0.300,
 )
 DECIDE_INTERVAL = 0.250  # seconds
 KEEP_INTERVAL = 0.200  # seconds between two decisions on the members
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -395,7 +395,11 @@
         finally:
             job.close()
             del self._running[request.request_id]
-            queue.finished(self._clock(), request.request_id, server, outcome)
+            held = self._backends.get(server)
+            slowdown = held[1].slowdown if held is not None else 1.0
+            queue.finished(
+                self._clock(), request.request_id, server, outcome, slowdown=slowdown
+            )
             self.pump()
 
     async def _exchange(self, queue: ServerQueue, job: Job, server: ServerId) -> None:
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -78,6 +78,7 @@
             then nobody knows whether the request ran.
     """
 
+    slowdown = 1.0  # of the server's machine, as its last answer said
     request_id_header = "X-Request-Id"
     private_headers = ROUTER_HEADERS  # of answers, which callers do not get
 
--- a/src/monsoonlug/links.py
+++ b/src/monsoonlug/links.py
@@ -10,7 +10,7 @@
 from monsoonlug.streams import MessageStream, connect
 
 FIRST_PAUSE = 0.02  # seconds
-LONGEST_PAUSE = 0.5  # seconds
+LONGEST_PAUSE = 0.25  # seconds
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow peer
 
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -25,6 +25,7 @@
 WRONG_SERVER = 421  # also the answer of a server that does not hold the key
 
 CONNECT_TIMEOUT = 0.3  # seconds; a connection takes about 1 ms to open
+LEAST_PERCENT = 10  # of the usual time of work; a lower figure is not believed
 REUSE_LIMIT = 0.4  # seconds; servers may forget an idle connection without notice
 
 _ID = re.compile(r"[!-~]{1,100}")
@@ -73,6 +74,14 @@
             headers[WORKSPACE] = request.workspace
         return headers
 
+    def note_answer(self, response: aiohttp.ClientResponse) -> None:
+        """Takes what the head of an answer says; see `HttpBackend`."""
+        super().note_answer(response)
+        # Running, waiting, slots, and the time of work in percent of the usual.
+        figures = response.headers.get(SERVER_LOAD, "").split(",")
+        if len(figures) == 4 and _NUMBER.fullmatch(figures[3].strip()):
+            self.slowdown = max(int(figures[3]), LEAST_PERCENT) / 100
+
     def find_request_id(self, request: BackendRequest) -> str:
         """Returns the caller's id, which the answer echoes; see `HttpBackend`."""
         for name, value in request.headers:
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -38,7 +38,7 @@
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
 VIEW_PART = 262_144  # bytes of one `StatePush`
 HOST_TIMEOUT = 1.6  # seconds without a beat after which an entry is not listed
-HOSTS_DELAY = 1.5  # seconds after an election in which entries report themselves
+HOSTS_DELAY = 0.6  # seconds after an election in which entries report themselves
 
 logger = get_logger("control")
 
--- a/src/monsoonlug/replica_state.py
+++ b/src/monsoonlug/replica_state.py
@@ -59,7 +59,7 @@
         self._leader_heard_at = -math.inf
         self.actions: list[Action] = []
         self.restore()
-        self.put_off_election()
+        self.elect_at = now + random.uniform(times.start_min, times.start_max)
 
     @property
     def applied(self) -> int:
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -37,6 +37,8 @@
 LEAST_PATIENCE = 0.3  # of a request's time, that it may wait on a slow server
 SWEEP_INTERVAL = 0.020  # seconds between two checks of the whole queue
 SLOW_FACTOR = 1.5  # of the best server's time, above which a shared request waits
+SLOWDOWN_TIME = 0.3  # seconds for which a reported slowdown is believed
+USUAL_SLOWDOWN = 1.2  # assumed of a server's machine that has said nothing lately
 DOWN_TIME = 0.5  # seconds until a server that could not be reached is tried again
 USE_WINDOW = 1.0  # seconds over which the use of a server is measured
 
@@ -100,6 +102,8 @@
     cold_until: float = 0.0
     closed_at: float = math.inf
     down_until: float = 0.0
+    slowdown: float = 1.0
+    slowdown_at: float = -math.inf
     next_cold_send: float = 0.0
     running: dict[RequestId, _Running] = field(default_factory=dict)
     queues: list[FairQueue] = field(
@@ -117,6 +121,11 @@
             return False
         return not self.is_cold(now) or now >= self.next_cold_send
 
+    def find_slowdown(self, now: float) -> float:
+        if now - self.slowdown_at > SLOWDOWN_TIME:
+            return USUAL_SLOWDOWN
+        return self.slowdown
+
     def note_sent(self, now: float) -> None:
         if self.is_cold(now) and self.cold_rate > 0:
             spacing = 1 / (self.cold_rate * COLD_SHARE)
@@ -244,14 +253,30 @@
             sent.append((request, server.name))
 
     def finished(
-        self, now: float, request_id: RequestId, server: ServerId, outcome: Outcome
+        self,
+        now: float,
+        request_id: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+        *,
+        slowdown: float = 1.0,
     ) -> None:
-        """Takes the end of a request that `next` returned."""
+        """Takes the end of a request that `next` returned.
+
+        Args:
+            now: Seconds.
+            request_id: Which request ended.
+            server: Where it ran.
+            outcome: How it ended.
+            slowdown: How much longer than usual work takes on the server's machine.
+        """
         known = self._servers.get(server)
         running = known.running.pop(request_id, None) if known else None
         if running is None:
             return
         latency = now - running.started
+        known.slowdown = slowdown
+        known.slowdown_at = now
         if outcome is Outcome.UNREACHED:
             self._take_down(now, known)
         if outcome is Outcome.ANSWERED:
@@ -408,17 +433,19 @@
     def _choose_server(self, now: float, ready: list[_Server]) -> _Server | None:
         """Returns the fastest free server, or None if a better one is soon free."""
         best = min(ready, key=lambda item: self._rank_speed(now, item))
-        own = self._model.estimate("", best.name)
+        own = self._model.estimate("", best.name) * best.find_slowdown(now)
         for other in self._servers.values():
             if other in ready or other.is_cold(now):
                 continue
             soon = self._find_wait(now, other, 0.0, 0.0)
-            if SLOW_FACTOR * (soon + self._model.estimate("", other.name)) < own:
+            service = self._model.estimate("", other.name) * other.find_slowdown(now)
+            if SLOW_FACTOR * (soon + service) < own:
                 return None
         return best
 
     def _rank_speed(self, now: float, server: _Server) -> tuple[bool, float]:
-        return server.is_cold(now), self._model.find_slowness(server.name)
+        slowness = self._model.find_slowness(server.name)
+        return server.is_cold(now), slowness * server.find_slowdown(now)
 
     def _sweep(self, now: float) -> None:
         for request, server in list(self._waiting.values()):
