Accept answers that end with their connection, and keep queues shorter than the objective

Cause: answers without a length were taken for cut ones, though a clean end of the connection completes them; with queues as long as the objective, slow answers came late. The first assignment of all keys sent a notice for each range to each entry.

Change: an unframed answer counts unless its connection was reset; a request may wait until 1.25 times its usual time is left before its objective; no notices for the first assignment.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -114,7 +114,7 @@
     """Returns start, end and owner of the first ranges of a pool.
 
     >>> plan_stripes([ServerId("a"), ServerId("b")])[:2]
-    [(0, 1637, 'a'), (1638, 3276, 'b')]
+    [(0, 1637, 'a'), (1638, 3275, 'b')]
     """
     count = len(servers) * RANGES_PER_SERVER
     stripes = []
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -4,7 +4,7 @@
 
 from monsoonlug import messages
 from monsoonlug.exceptions import DamagedFrame
-from monsoonlug.ids import Epoch, FailureDomain, PoolId, ServerId
+from monsoonlug.ids import SLICE_COUNT, Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.keyranges import KeyRange
 
 # Changes of the view.
@@ -309,6 +309,14 @@
     members: list
 
 
+def covers_all_keys(change: KeysAssigned) -> bool:
+    """Returns whether an assignment is the first one of its pool.
+
+    No server held a key before, so nobody needs to wait for a release.
+    """
+    return sum(row[1] - row[0] + 1 for row in change.rows) == SLICE_COUNT
+
+
 def pack_range(row: KeyRange) -> list:
     """Returns a range as start, end, owner, born, epoch and handover."""
     return [row.start, row.end, row.owner, row.born, row.epoch, row.handover]
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 import re
 import time
@@ -9,6 +10,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
 from yarl import URL
@@ -53,6 +55,7 @@
 
     task: asyncio.Task | None
     response: aiohttp.ClientResponse | None = None
+    protocol: "_ResponseHandler | None" = None
     cancelled: bool = False
 
 
@@ -79,6 +82,7 @@
     """
 
     slowdown = 1.0  # of the server's machine, as its last answer said
+    accepts_unframed = False  # whether an answer may end with its connection
     request_id_header = "X-Request-Id"
     private_headers = ROUTER_HEADERS  # of answers, which callers do not get
 
@@ -155,6 +159,8 @@
                     timeout=aiohttp.ClientTimeout(total=None, connect=connect),
                 )
                 await self._check_head(request, call.response)
+                if _is_unframed(call.response):
+                    call.protocol = call.response._protocol
         except TimeoutError:
             self._abort(call)
             raise OutcomeUnknown("the answer did not come in time") from None
@@ -219,6 +225,8 @@
         lengths = response.headers.getall("Content-Length", [])
         codings = response.headers.getall("Transfer-Encoding", [])
         chunked = [coding.lower() for coding in codings] == ["chunked"]
+        if not lengths and not codings and self.accepts_unframed:
+            return
         # Without either, a lost connection looks like the end of the body.
         if len(lengths) + len(codings) != 1 or (codings and not chunked):
             raise OutcomeUnknown("the answer's body has no clear end")
@@ -279,6 +287,8 @@
         content = self.call.response.content
         if not content.is_eof() or content.exception() is not None:
             return None
+        if self.call.protocol is not None and self.call.protocol.is_reset:
+            return None
         is_late = self.request.deadline <= self.backend._clock()
         if is_late or content.total_bytes > limit:
             return None
@@ -304,21 +314,48 @@
                 raise TimeoutError
             # Most bodies came with the head; they need no timer.
             part = content.read_nowait(MAX_PART)
-            if part or content.at_eof():
-                return part
-            async with asyncio.timeout(remaining):
-                return await content.read(MAX_PART)
+            if not part and not content.at_eof():
+                async with asyncio.timeout(remaining):
+                    part = await content.read(MAX_PART)
+            if not part:
+                self._check_end()
+            return part
         except TimeoutError:
             raise OutcomeUnknown("the answer did not end in time") from None
         except (aiohttp.ClientError, OSError):
             raise OutcomeUnknown("the answer was cut off or cancelled") from None
 
+    def _check_end(self) -> None:
+        """Checks that an answer without a length did not end with a reset.
+
+        Raises:
+            ConnectionResetError: If it did; the library takes both for the end.
+        """
+        if self.call.protocol is not None and self.call.protocol.is_reset:
+            raise ConnectionResetError
+
     def cancel(self) -> None:
         """Drops the rest of the answer; see `BackendAnswer.cancel`."""
         self.call.response.close()
         self.backend._forget(self.request.request, self.call)
 
 
+class _ResponseHandler(ResponseHandler):
+    """Remembers whether its connection was reset."""
+
+    is_reset = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Takes the end of the connection."""
+        self.is_reset = exc is not None
+        super().connection_lost(exc)
+
+
+def _is_unframed(response: aiohttp.ClientResponse) -> bool:
+    headers = response.headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
 class _CheckedConnector(aiohttp.TCPConnector):
     """Checks the lease and the connection right before a request is written.
 
@@ -329,6 +366,7 @@
 
     def __init__(self, *, may_send: Callable[[], bool], **options):
         super().__init__(**options)
+        self._factory = functools.partial(_ResponseHandler, loop=self._loop)
         self._may_send = may_send
         self._idle_limit = math.inf
 
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -62,6 +62,7 @@
 class PlatformBackend(HttpBackend):
     """Sends requests to one backend server of the platform."""
 
+    accepts_unframed = True
     request_id_header = REQUEST_ID
     private_headers = frozenset({SERVER_LOAD.lower()})
 
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -29,6 +29,7 @@
     PutServer,
     ServerCold,
     ServerPut,
+    covers_all_keys,
     pack_range,
     read_range,
 )
@@ -247,7 +248,7 @@
     def note_committed(self, now: float, changes: Iterable[object]) -> None:
         """Takes the changes of a committed command."""
         for change in changes:
-            if not isinstance(change, KeysAssigned):
+            if not isinstance(change, KeysAssigned) or covers_all_keys(change):
                 continue
             plan = self._get_plan(change.pool)
             for packed in change.rows:
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -33,6 +33,7 @@
 COLD_SHARE = 1.1  # of the rate that a cold server bears; it bears 1.5 for a second
 LEAST_RETRY_AFTER = 0.050  # seconds
 MOST_RETRY_AFTER = 2.0  # seconds
+CAUTION = 1.25  # times a request's usual time, that must be left before its objective
 LEAST_CHANCE = 0.7  # of a request's usual time, in which it may still end
 LEAST_PATIENCE = 0.3  # of a request's time, that it may wait on a slow server
 SWEEP_INTERVAL = 0.020  # seconds between two checks of the whole queue
@@ -354,7 +355,7 @@
         A longer queue would serve as many requests, but each of them late. What waits
         longer is refused at once and can come back when there is room.
         """
-        spare = request.objective - now - service - RETURN_TIME
+        spare = request.objective - now - CAUTION * service - RETURN_TIME
         return max(LEAST_PATIENCE * service, spare)
 
     def _find_queues(self, server: ServerId | None) -> list[FairQueue]:
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -18,6 +18,7 @@
     RateGrant,
     ServerCold,
     StatePush,
+    covers_all_keys,
     read_range,
 )
 from monsoonlug.gatehost import LiveHost
@@ -334,7 +335,7 @@
             return
         now = self._clock()
         for change in changes:
-            if not isinstance(change, KeysAssigned):
+            if not isinstance(change, KeysAssigned) or covers_all_keys(change):
                 continue
             for packed in change.rows:
                 row = read_range(packed)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -233,6 +234,36 @@
     assert raw.connections == 2
 
 
+class UnframedBackend(HttpBackend):
+    accepts_unframed = True
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_answer_without_a_length_ends_with_its_connection(raw, is_reset):
+    """Guards against a lost whole answer, and a cut one that looks whole."""
+    backend = UnframedBackend(server="s1", address=raw.address, connections=4)
+    raw.answers = [b"HTTP/1.1 200 OK\r\n\r\nbody"]
+
+    async def end_connection():
+        await raw.received.wait()
+        await asyncio.sleep(0.05)
+        if is_reset:
+            connection = raw.writers[0].get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        raw.writers[0].transport.abort() if is_reset else raw.writers[0].close()
+
+    task = asyncio.create_task(end_connection())
+    answer = await backend.send(make_request(backend, 1))
+    if is_reset:
+        with pytest.raises(OutcomeUnknown):
+            await read_body(answer)
+    else:
+        assert await read_body(answer) == b"body"
+    await task
+    await backend.close()
+
+
 async def test_old_connection_carries_only_what_may_be_repeated(raw):
     """Guards against an order that is lost as its server closes an idle connection."""
     backend = HttpBackend(
