Never take back that a backend server leaves

Change: a process that said that it leaves stays draining, also at a new leader, and its record is kept for 20 s of silence.

--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -42,7 +42,7 @@
 LEASE_MARGIN = 0.2  # seconds, for rounding and for a server's own timers
 LEASE_END = HOLD_TIME * CLOCK_DRIFT + LEASE_MARGIN  # seconds after an answer
 SETTLE_TIME = 1.2  # seconds without a new server until keys are given out at first
-FORGET_AFTER = 20.0  # seconds of silence; longer than a cut that callers don't notice
+FORGET_AFTER = 20.0  # seconds of silence; longer than any heartbeat is under way
 SILENT_BEATS = 2.5  # heartbeats that a server misses before it counts as silent
 FIRST_HANDOFF = 0.20  # seconds that a server takes to release keys after an answer
 LAST_HANDOFF = 0.60  # seconds after which keys would wait too long for their new owner
@@ -188,7 +188,7 @@
             address=beat.address,
             failure_domain=beat.failure_domain,
             slots=beat.slots,
-            draining=beat.draining or live.has_left,
+            draining=beat.draining or live.has_left or _is_leaving(record, beat),
         )
         if wanted != record:
             commands.append(PutServer(record=messages.encode(wanted)))
@@ -436,11 +436,7 @@
                 if self._is_silent(now, live):
                     del self._live[server]
                 continue
-            is_over = live.has_left and now > live.lease_end
-            silent_for = now - live.heard_at
-            if silent_for > FORGET_AFTER or (
-                is_over and silent_for > SILENT_BEATS * self._period
-            ):
+            if now - live.heard_at > FORGET_AFTER:
                 yield DropServer(server=server, born=live.born)
 
     # Releases.
@@ -618,6 +614,14 @@
         return row
 
 
+def _is_leaving(record: ServerPut | None, beat: ServerBeat) -> bool:
+    """Returns whether a process said that it leaves, which it never takes back.
+
+    Its heartbeats may be on their way for seconds and arrive after that.
+    """
+    return record is not None and record.born == beat.born and record.draining
+
+
 def _list_all(record: ServerPut, table: KeyTable) -> list[Shift]:
     shifts = []
     for row in table.iterate():
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -171,6 +171,33 @@
     control.decide()
     control.decide()
     assert control.count("s1") == 0
+
+
+@pytest.mark.parametrize("new_leader", [False, True])
+def test_late_heartbeat_does_not_bring_a_left_server_back(control, new_leader):
+    """Guards against new work for a server whose leave was acknowledged.
+
+    Its last heartbeat said that it is ready, and was on its way for seconds.
+    """
+    control.now += 0.5
+    control.beat("s2")
+    control.commit(control.registrar.leave("s1"))
+    for _ in range(6):
+        control.now += 0.5
+        control.beat("s2")
+        control.decide()
+    if new_leader:
+        control.elect()
+    control.beat("s1")
+    assert control.fleet.state.view.servers["s1"].draining
+
+
+def test_left_server_is_forgotten_in_the_end(control):
+    """Guards against records of servers that never come back."""
+    control.commit(control.registrar.leave("s1"))
+    control.now += FORGET_AFTER + 1
+    control.beat("s2")
+    control.decide()
     assert "s1" not in control.fleet.state.view.servers
 
 
