--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -22,6 +22,7 @@
 from monsoonlug.fleet_messages import ChangeItems, DomainChanged, GroupTold
 from monsoonlug.group import ControlGroup
 from monsoonlug.groupkeeper import GroupKeeper
+from monsoonlug.heartbeats import HoldAnswer, ServerBeat
 from monsoonlug.ids import FailureDomain, ReplicaId, ServerId
 from monsoonlug.instruments import Instruments
 from monsoonlug.items import Item, ItemKind, ItemRemoved
@@ -31,7 +32,6 @@
 from monsoonlug.membership import Members
 from monsoonlug.peer_messages import VoteRequest
 from monsoonlug.publisher import Publisher
-from monsoonlug.registrar import HoldAnswer, ServerBeat
 from monsoonlug.streams import MessageStream
 from monsoonlug.timing import ConsensusTimes
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -42,9 +42,9 @@
     Slice,
 )
 from monsoonlug.items import ItemKind, PoolItem
-from monsoonlug.jobs import POOLED, Job
+from monsoonlug.jobs import POOLED, Job, JobTable
 from monsoonlug.logs import get_logger
-from monsoonlug.messages import Cancel, Credit, RequestBody, RequestHead
+from monsoonlug.messages import RequestHead
 from monsoonlug.serverqueue import ServerQueue, WorkModel
 
 GROUP_SIZE = 8  # servers of a pool without keys that share one gate
@@ -171,11 +171,10 @@
         self._backends: dict[ServerId, tuple[ServerPut, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
         self._closings = ClosingTimes()
-        self._jobs: dict[Peer, dict[int, Job]] = {}
+        self._jobs = JobTable(open_job=self._open, cancel_job=self._cancel)
         self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._closing: set[asyncio.Task] = set()
-        self.unknown_frames = 0
 
     @property
     def running(self) -> int:
@@ -227,33 +226,12 @@
     # Frames of request streams.
 
     def receive(self, peer: Peer, message: object) -> None:
-        """Takes a frame of a request stream.
-
-        Raises:
-            DamagedFrame: If the peer does not keep to the protocol.
-        """
-        if isinstance(message, RequestHead):
-            self._open(peer, message)
-            return
-        job = self._jobs.get(peer, {}).get(getattr(message, "stream", None))
-        if job is None or job.ended:
-            self.unknown_frames += 1
-            return
-        match message:
-            case RequestBody():
-                job.feed(message)
-            case Credit():
-                job.add_credit(message.size)
-            case Cancel():
-                self._cancel(job)
-            case _:
-                self.unknown_frames += 1
+        """Takes a frame of a request stream; see `JobTable`."""
+        self._jobs.receive(peer, message)
 
     def lose_peer(self, peer: Peer) -> None:
         """Takes the loss of a peer: its callers no longer wait."""
-        for job in list(self._jobs.pop(peer, {}).values()):
-            if not job.ended:
-                self._cancel(job)
+        self._jobs.lose_peer(peer)
 
     async def stop(self) -> None:
         """Waits until all that runs has ended and closes the connections."""
@@ -290,10 +268,7 @@
     def _open(self, peer: Peer, head: RequestHead) -> None:
         now = self._clock()
         job = Job(head=head, peer=peer, deadline=now + head.remaining)
-        jobs = self._jobs.setdefault(peer, {})
-        for stream in [number for number, item in jobs.items() if item.ended]:
-            del jobs[stream]
-        jobs[head.stream] = job
+        self._jobs.add(job)
         if now >= job.deadline:
             job.fail(DeadlineExceeded())
             return
@@ -353,6 +328,8 @@
                 queue.set_cold(now, record.server, cold)
 
     def _cancel(self, job: Job) -> None:
+        if job.ended:
+            return
         request_id = RequestId(job.head.request)
         job.close()
         queue = self._queues.get(job.head.server)
--- a/src/monsoonlug/gatekeeper.py
+++ b/src/monsoonlug/gatekeeper.py
@@ -18,15 +18,12 @@
 )
 from monsoonlug.exchanges import Peer
 from monsoonlug.ids import SLICE_COUNT, HostId, ServerId, Slice, SliceState
-from monsoonlug.jobs import POOLED, Job, number_override
+from monsoonlug.jobs import POOLED, Job, JobTable, number_override
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import (
-    Cancel,
-    Credit,
     GateReleased,
     KeysReleased,
     Released,
-    RequestBody,
     RequestHead,
     ServerLost,
 )
@@ -66,11 +63,10 @@
         self._view = View()
         self._view_changed = asyncio.Event()
         self._runners: dict[ServerId, GateRunner] = {}
-        self._jobs: dict[Peer, dict[int, Job]] = {}
+        self._jobs = JobTable(open_job=self._open, cancel_job=self._cancel)
         self._withdrawn: set[str] = set()
         self._stopping: set[asyncio.Task] = set()
         self._waiting: set[asyncio.Task] = set()
-        self.unknown_frames = 0
 
     @property
     def runners(self) -> dict[ServerId, GateRunner]:
@@ -80,40 +76,17 @@
     # What other hosts and this host's callers send.
 
     def receive(self, peer: Peer, message: object) -> None:
-        """Takes a frame of a request stream.
-
-        Raises:
-            DamagedFrame: If the peer does not keep to the protocol.
-        """
-        if isinstance(message, RequestHead):
-            self._open(peer, message)
-            return
-        job = self._jobs.get(peer, {}).get(getattr(message, "stream", None))
-        if job is None or job.ended:
-            self.unknown_frames += 1
-            return
-        match message:
-            case RequestBody():
-                job.feed(message)
-            case Credit():
-                job.add_credit(message.size)
-            case Cancel():
-                self._cancel(job)
-            case _:
-                self.unknown_frames += 1
+        """Takes a frame of a request stream; see `JobTable`."""
+        self._jobs.receive(peer, message)
 
     def lose_peer(self, peer: Peer) -> None:
         """Takes the loss of a peer: its callers no longer wait."""
-        for job in list(self._jobs.pop(peer, {}).values()):
-            self._cancel(job)
+        self._jobs.lose_peer(peer)
 
     def _open(self, peer: Peer, head: RequestHead) -> None:
         deadline = self._clock() + head.remaining
         job = Job(head=head, peer=peer, deadline=deadline)
-        jobs = self._jobs.setdefault(peer, {})
-        for stream in [number for number, item in jobs.items() if item.ended]:
-            del jobs[stream]
-        jobs[head.stream] = job
+        self._jobs.add(job)
         if head.revision <= self._view.revision:
             self._submit(job)
             return
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -2,16 +2,12 @@
 
 import asyncio
 import contextlib
-import functools
-import math
 import re
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -29,18 +25,20 @@
     BadRequest,
     ConnectFailed,
     DeadlineExceeded,
-    LeaseOver,
     OutcomeUnknown,
     ProcessGone,
 )
+from monsoonlug.http_connections import (
+    CheckedConnector,
+    CheckedResponse,
+    TrackedHandler,
+)
 from monsoonlug.ids import RequestId, ServerId
-from monsoonlug.streams import limit_silence
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CONNECT_SHARE = 0.9  # of the remaining time, so that a timeout still proves "not sent"
 KEEPALIVE_TIMEOUT = 60.0  # seconds
 KEEPALIVE_SHARE = 0.6  # of the idle time that the server names
-SILENT_TIMEOUT = 2_000  # milliseconds for which sent data may stay unacknowledged
 MAX_PART = 65_536  # bytes of a body read at once
 MAX_REFUSAL = 4_096  # bytes of a refusal's body read to keep the connection
 
@@ -55,7 +53,7 @@
 
     task: asyncio.Task | None
     response: aiohttp.ClientResponse | None = None
-    protocol: "_ResponseHandler | None" = None
+    protocol: "TrackedHandler | None" = None
     cancelled: bool = False
 
 
@@ -105,7 +103,7 @@
         self._clock = clock
         self._calls: dict[RequestId, _Call] = {}
         self._idle_limit = KEEPALIVE_TIMEOUT
-        connector = _CheckedConnector(
+        connector = CheckedConnector(
             may_send=may_send,
             limit=connections,
             limit_per_host=connections,
@@ -204,7 +202,7 @@
         # carries the next request. The id that it echoes tells it apart.
         header = self.request_id_header
 
-        class Response(_CheckedResponse):
+        class Response(CheckedResponse):
             request_id_header = header
 
         return Response
@@ -340,101 +338,11 @@
         self.backend._forget(self.request.request, self.call)
 
 
-class _ResponseHandler(ResponseHandler):
-    """Remembers whether its connection was reset."""
-
-    is_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Takes the end of the connection."""
-        self.is_reset = exc is not None
-        super().connection_lost(exc)
-
-
 def _is_unframed(response: aiohttp.ClientResponse) -> bool:
     headers = response.headers
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
-class _CheckedConnector(aiohttp.TCPConnector):
-    """Checks the lease and the connection right before a request is written.
-
-    Idle connections on which the server sent something unasked are closed. The pool of
-    aiohttp hands them out, and the surplus answer would then be taken for the answer to
-    the next request.
-    """
-
-    def __init__(self, *, may_send: Callable[[], bool], **options):
-        super().__init__(**options)
-        self._factory = functools.partial(_ResponseHandler, loop=self._loop)
-        self._may_send = may_send
-        self._idle_limit = math.inf
-
-    def set_idle_limit(self, seconds: float) -> None:
-        """Bounds how long the connection of the next request may have been idle."""
-        self._idle_limit = seconds
-
-    async def connect(self, *arguments, **options):
-        connection = await super().connect(*arguments, **options)
-        # This process may have been paused since the gate let the request go.
-        if not self._may_send():
-            connection.release()
-            raise LeaseOver()
-        return connection
-
-    async def _get(self, key, traces):
-        rested = self._set_aside(key)
-        try:
-            while True:
-                connection = await super()._get(key, traces)
-                if connection is None or not connection.protocol.should_close:
-                    return connection
-                connection.close()
-        finally:
-            if rested:
-                self._conns[key].extendleft(reversed(rested))
-
-    def _set_aside(self, key) -> list:
-        """Takes the connections that were idle for too long out of the pool."""
-        now = time.monotonic()
-        rested = []
-        connections = self._conns.get(key)
-        while connections and now - connections[0][1] > self._idle_limit:
-            rested.append(connections.popleft())
-        if connections is not None and not connections:
-            del self._conns[key]
-        return rested
-
-    async def _create_connection(self, *arguments, **options):
-        protocol = await super()._create_connection(*arguments, **options)
-        limit_silence(protocol.transport, milliseconds=SILENT_TIMEOUT)
-        return protocol
-
-
-class _CheckedResponse(aiohttp.ClientResponse):
-    """Skips answers that echo the id of another request."""
-
-    request_id_header = ""
-
-    async def start(self, connection):
-        sent = self.request_info.headers.get(self.request_id_header)
-        protocol = connection.protocol
-        while sent is not None:
-            try:
-                message, payload = await protocol.read()
-            except HttpProcessingError as error:
-                raise aiohttp.ClientPayloadError("the answer is not HTTP") from error
-            echoed = message.headers.get(self.request_id_header)
-            if message.code < 200 or echoed is None or echoed == sent:
-                # The answer is put back for the reader of the library.
-                protocol._buffer.appendleft(((message, payload), 0))
-                break
-            protocol.force_close()
-            while not payload.at_eof():
-                await payload.readany()
-        return await super().start(connection)
-
-
 async def _translate_errors(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface of a fleet: checks, tokens, delivery and refusals."""
 
 import asyncio
+import contextlib
 import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -43,6 +44,7 @@
 from monsoonlug.refusals import build_refusal, drop_body
 from monsoonlug.subscription import Subscription
 
+TOKEN_LOOK_INTERVAL = 0.050  # seconds between two looks at a silent leader's tokens
 TOKEN_PATIENCE = 0.250  # seconds that a request waits for the answer about a token
 DENIAL_AGE = 1.0  # seconds; an older view may not know a new route or key yet
 STALE_RETRY_AFTER = 0.300  # seconds; about the time until the next beat is answered
@@ -343,10 +345,10 @@
             remaining = until - self._clock()
             if remaining <= 0:
                 raise RateExceeded(retry_after=LEAST_RETRY_AFTER + TOKEN_PATIENCE)
-            try:
-                await asyncio.wait_for(changed.wait(), min(remaining, 0.05))
-            except TimeoutError:
-                pass
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    changed.wait(), min(remaining, TOKEN_LOOK_INTERVAL)
+                )
             if wallet.take(self._clock(), workspace):
                 return
             self._check_pause(workspace)
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -1,13 +1,14 @@
 """One request at its gate: body parts that come in, answer frames that go out."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from monsoonlug.exceptions import DamagedFrame, MonsoonlugError, StreamClosed
 from monsoonlug.exchanges import PART_SIZE, WINDOW, CreditWindow, Peer
 from monsoonlug.ids import SLICE_COUNT
 from monsoonlug.messages import (
+    Cancel,
     Credit,
     RequestBody,
     RequestFailed,
@@ -158,6 +159,61 @@
         self._credit.close()
 
 
+class JobTable:
+    """The requests at the gates of this host, by the peer that they came from.
+
+    Args:
+        open_job: Takes the head of each new request.
+        cancel_job: Takes that the caller of a request no longer waits.
+    """
+
+    def __init__(
+        self,
+        *,
+        open_job: Callable[[Peer, RequestHead], None],
+        cancel_job: Callable[[Job], None],
+    ):
+        self._open_job = open_job
+        self._cancel_job = cancel_job
+        self._jobs: dict[Peer, dict[int, Job]] = {}
+        self.unknown_frames = 0
+
+    def add(self, job: Job) -> None:
+        """Adds a request and forgets those of its peer that have ended."""
+        jobs = self._jobs.setdefault(job.peer, {})
+        for stream in [number for number, item in jobs.items() if item.ended]:
+            del jobs[stream]
+        jobs[job.head.stream] = job
+
+    def receive(self, peer: Peer, message: object) -> None:
+        """Takes a frame of a request stream.
+
+        Raises:
+            DamagedFrame: If the peer does not keep to the protocol.
+        """
+        if isinstance(message, RequestHead):
+            self._open_job(peer, message)
+            return
+        job = self._jobs.get(peer, {}).get(getattr(message, "stream", None))
+        if job is None or job.ended:
+            self.unknown_frames += 1
+            return
+        match message:
+            case RequestBody():
+                job.feed(message)
+            case Credit():
+                job.add_credit(message.size)
+            case Cancel():
+                self._cancel_job(job)
+            case _:
+                self.unknown_frames += 1
+
+    def lose_peer(self, peer: Peer) -> None:
+        """Takes the loss of a peer: its callers no longer wait."""
+        for job in list(self._jobs.pop(peer, {}).values()):
+            self._cancel_job(job)
+
+
 def number_override(key_hash: int) -> int:
     """Returns the unit of a key that has an override.
 
--- a/src/monsoonlug/platform/__main__.py
+++ b/src/monsoonlug/platform/__main__.py
@@ -1,6 +1,7 @@
 """Starts a daemon on the platform: `python -m monsoonlug.platform entry|control`."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -70,10 +71,8 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
     seen = path.read_bytes()
     while True:
-        try:
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(changed.wait(), RELOAD_INTERVAL)
-        except TimeoutError:
-            pass
         changed.clear()
         try:
             found = path.read_bytes()
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -4,6 +4,7 @@
 
 from monsoonlug.catalogue import digest_key
 from monsoonlug.exceptions import BadRequest
+from monsoonlug.heartbeats import HoldAnswer, ServerBeat
 from monsoonlug.ids import FailureDomain, PoolId, RouteId, ServerId, WorkspaceId
 from monsoonlug.items import (
     Item,
@@ -24,7 +25,6 @@
     read_text,
     read_version,
 )
-from monsoonlug.registrar import HoldAnswer, ServerBeat
 
 _KINDS = {
     "routes": ItemKind.ROUTE,
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -33,11 +33,12 @@
     pack_range,
     read_range,
 )
+from monsoonlug.heartbeats import HOLD_TIME, HoldAnswer, ServerBeat
 from monsoonlug.ids import Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.items import ItemKind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
+from monsoonlug.releases import Release, find_release, subtract_releases
 
-HOLD_TIME = 4.0  # seconds of a lease; covers a failover of control and two heartbeats
 CLOCK_DRIFT = 1.02  # by which a server's clock may run slow
 LEASE_MARGIN = 0.2  # seconds, for rounding and for a server's own timers
 LEASE_END = HOLD_TIME * CLOCK_DRIFT + LEASE_MARGIN  # seconds after an answer
@@ -52,39 +53,6 @@
 USE_WEIGHT = 0.3  # of a new report in a server's average use
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServerBeat:
-    """One heartbeat of a backend server.
-
-    Attributes:
-        born: Start time of the process, in Unix milliseconds.
-        sequence: Grows with each heartbeat of the process.
-        cold_seconds: For how much longer the server is cold.
-        held: Start, end and epoch of the ranges that it holds or still works on.
-        freed: Start, end and handover of the ranges that it released.
-    """
-
-    server: ServerId
-    born: int
-    sequence: int
-    pool: PoolId
-    address: str
-    failure_domain: FailureDomain
-    slots: int
-    draining: bool
-    cold_seconds: float
-    held: tuple[tuple[int, int, int], ...] = ()
-    freed: tuple[tuple[int, int, str], ...] = ()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HoldAnswer:
-    """What a server is to hold, for `HOLD_TIME` from the sending of its heartbeat."""
-
-    ranges: list[KeyRange]
-    hold_time: float = HOLD_TIME
-
-
 @dataclass(slots=True, kw_only=True)
 class _Live:
     """What the leader heard of one process of a backend server."""
@@ -101,21 +69,11 @@
     held: frozenset[tuple[int, int, int]] = frozenset()
 
 
-@dataclass(slots=True, kw_only=True)
-class _Release:
-    """Keys that a server is being asked to release, and who gets them."""
-
-    start: int
-    end: int
-    source: ServerId
-    target: ServerId
-
-
 @dataclass(slots=True, kw_only=True)
 class _PoolPlan:
     loads: KeyLoads = field(default_factory=KeyLoads)
     wanted: list[Shift] = field(default_factory=list)
-    releases: list[_Release] = field(default_factory=list)
+    releases: list[Release] = field(default_factory=list)
     changed_at: float = 0.0
 
 
@@ -236,7 +194,7 @@
         for row in table.iterate():
             if row.owner != server or row.born != born:
                 continue
-            for part in _subtract(row, releases):
+            for part in subtract_releases(row, releases):
                 self._note_granted(record.pool, part)
                 ranges.append(self._strip_handover(live, part))
         if live.has_left:
@@ -495,7 +453,7 @@
             if item in plan.wanted:
                 plan.wanted.remove(item)
             plan.releases.append(
-                _Release(
+                Release(
                     start=start, end=end, source=record.server, target=target.server
                 )
             )
@@ -554,7 +512,7 @@
         rows = []
         start = row.start
         while start <= row.end:
-            release = _find_release(plan.releases, start)
+            release = find_release(plan.releases, start)
             end = row.end
             if release is not None:
                 end = min(end, release.end)
@@ -628,26 +586,3 @@
         if row.owner == record.server and row.born == record.born:
             shifts.append(Shift(start=row.start, end=row.end, source=record.server))
     return shifts
-
-
-def _find_release(releases: list[_Release], key: int) -> _Release | None:
-    for release in releases:
-        if release.start <= key <= release.end:
-            return release
-    return None
-
-
-def _subtract(row: KeyRange, releases: list[_Release]) -> Iterator[KeyRange]:
-    """Yields the parts of a range that are not being released."""
-    start = row.start
-    cuts = sorted(
-        (max(r.start, row.start), min(r.end, row.end))
-        for r in releases
-        if r.start <= row.end and row.start <= r.end
-    )
-    for first, last in cuts:
-        if start < first:
-            yield row.cut(start, first - 1)
-        start = max(start, last + 1)
-    if start <= row.end:
-        yield row.cut(start, row.end)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import pytest
 
 from monsoonlug.exceptions import BadRequest, InvalidFile
+from monsoonlug.heartbeats import HoldAnswer
 from monsoonlug.items import ItemKind, ItemRemoved, RouteItem
 from monsoonlug.keyranges import KeyRange
 from monsoonlug.platform.documents import (
@@ -16,7 +17,6 @@
 )
 from monsoonlug.platform.headers import PlatformCallers
 from monsoonlug.platform.settings import NodeFile
-from monsoonlug.registrar import HoldAnswer
 
 SOURCES = Path(__file__).parent.parent / "src" / "monsoonlug"
 WIRE_NAMES = re.compile(
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -1,13 +1,13 @@
 import pytest
 
 from monsoonlug.fleet_messages import DomainChanged, KeyStatus, ServerCold
+from monsoonlug.heartbeats import ServerBeat
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.registrar import (
     FORGET_AFTER,
     LEASE_END,
     SETTLE_TIME,
     Registrar,
-    ServerBeat,
 )
 from tests.test_fleet import Fleet, change
 from tests.test_items import build_pool, build_route
