Number the beats of an entry, so that an answer confirms the beat it belongs to

An answer was then counted from the sending of the newest beat, and a view looked up to 0.4 s younger than it was.

Change: each beat has a new number.

--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -230,7 +230,7 @@
                 self.find_age(),
             )
             self._leader = ""
-            self._sequence += 1
+        self._sequence += 1
         loads, servers = self._collect() if self._leader else ([], [])
         identity = self._identity
         beat = EntryBeat(
