Use the named weight of an answer in the mean work of a route

Cause: the weight after the first answers stood as a number beside its constant. Below 20 answers 1 / answers is at least 0.05, so the larger of the two was always that.

Change: the constant takes the place of the number; no change of behaviour.

--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -69,7 +69,7 @@
         work = self._work.get(route, latency)
         answers = self._answers.get(route, 0) + 1
         slowness = self.find_slowness(server)
-        weight = max(WORK_WEIGHT, 1 / answers) if answers < FIRST_ANSWERS else 0.02
+        weight = 1 / answers if answers < FIRST_ANSWERS else WORK_WEIGHT
         work += weight * (latency / slowness - work)
         self._work[route] = max(work, 1e-4)
         self._answers[route] = answers
