Make the shares of a rate add up to one while hosts and leaders are lost

Hosts that were heard were told shares that added up to one without the silent ones, what silent hosts spent before they were noticed did not count, the deposed leader went on granting for 0.9 s, and each cut off host took a whole token in advance.

Change: shares leave out what is reserved, a silent host's refill is deducted, a new leader begins with a tenth of the burst and 0.75 of the claimed rate, urgent tokens need a round confirmed within 0.3 s, a share is aged from its last grant to the last answer, and less than a token of advance becomes a whole one only for some hosts.

--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -38,6 +38,9 @@
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
 VIEW_PART = 262_144  # bytes of one `StatePush`
 HOST_TIMEOUT = 1.6  # seconds without a beat after which an entry is not listed
+GRANT_AGE = (
+    0.3  # seconds since the last confirmed round, above which none grants tokens
+)
 HOSTS_DELAY = 0.6  # seconds after an election in which entries report themselves
 
 logger = get_logger("control")
@@ -185,6 +188,10 @@
             case EntryBeat():
                 self._take_beat(subscriber, message)
             case RateAsk():
+                # A leader that lost its majority would grant beside the next one.
+                age = self._clock() - self.group.replica.confirmed_at()
+                if age > GRANT_AGE:
+                    return
                 grant = self._grant(message.sequence, message.host, message.wanted)
                 self._send(subscriber, grant)
 
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -9,11 +9,12 @@
 
 import math
 from dataclasses import dataclass, field
+from random import Random
 
 from monsoonlug.ids import HostId, WorkspaceId
 from monsoonlug.items import ItemKind, ItemTable
 
-FIRST_LEVEL = 0.25  # of the burst, in the bucket of a new leader
+FIRST_LEVEL = 0.1  # of the burst, in the bucket of a new leader
 SHARE_MEMORY = 4.0  # seconds over which the shares of the hosts are averaged
 SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
 SPARE_TIME = 0.8  # seconds of a host's demand that it keeps as spare tokens
@@ -21,7 +22,8 @@
 SILENT_TIME = 0.9  # seconds without a beat after which a host may refill itself
 RESERVE_TIME = 12.0  # seconds; longer than a cut after which a view is too old
 CLAIM_TIME = 6.0  # seconds for which a new leader goes by the shares of the last one
-FIRST_RATE = 0.9  # of what is claimed, that a new leader gives away in that time
+FIRST_RATE = 0.75  # of what is claimed, that a new leader gives away in that time
+LEAST_FREE = 0.05  # of the rate, counted as left when a silent host is heard again
 NO_SHARE = -1.0  # of a host that was told none
 ASK_TIMEOUT = 0.150  # seconds without an answer until a host asks again
 ANSWER_TIMEOUT = 1.000  # seconds without an answer, of two beats, until it refills
@@ -29,8 +31,8 @@
 DEMAND_MEMORY = 2.0  # seconds over which a host's demand is averaged
 LEAST_DEMAND = 0.2  # requests per second below which a host keeps no tokens
 REFILL_SHARE = 0.75  # of its share, as others' shares may have grown since it was told
-ADVANCE_TIME = 0.5  # seconds of its refill that a host gets at once
-FIRST_SHARE = 0.05  # of the rate, for a host that was told no share yet
+ADVANCE_TIME = 0.7  # seconds of its refill that a host gets at once
+FIRST_HOSTS = 20  # hosts among which a rate is divided before their number is known
 LEAST_PAUSE = 0.050  # seconds
 
 
@@ -184,14 +186,21 @@
     def _reserve(self, now: float, bucket: _Bucket) -> None:
         """Keeps the shares of silent hosts, which may go on spending them."""
         for host in list(bucket.granted):
-            if now - self._heard.get(host, now) > SILENT_TIME:
-                bucket.reserved[host] = _find_share(bucket, host)
+            silence = now - self._heard.get(host, now)
+            if silence > SILENT_TIME:
+                share = _find_share(bucket, host)
+                bucket.reserved[host] = share
                 del bucket.granted[host]
+                # The host has refilled itself since it was heard for the last time.
+                refilled = REFILL_SHARE * share * (silence + ADVANCE_TIME)
+                bucket.level -= refilled * bucket.limit.rate
         for host in list(bucket.reserved):
             silence = now - self._heard.get(host, -math.inf)
             if silence <= SILENT_TIME:
                 share = bucket.reserved.pop(host)
-                bucket.granted[host] = share * sum(bucket.granted.values())
+                free = max(LEAST_FREE, 1 - sum(bucket.reserved.values()) - share)
+                total = sum(bucket.granted.values())
+                bucket.granted[host] = total * share / free
             elif silence > RESERVE_TIME:
                 del bucket.reserved[host]
 
@@ -209,7 +218,11 @@
 
 def _find_share(bucket: _Bucket, host: HostId) -> float:
     total = sum(bucket.granted.values())
-    return bucket.granted.get(host, 0.0) / total if total > 0 else 0.0
+    if total <= 0:
+        return 0.0
+    # The shares of silent hosts are still theirs, so all shares add up to one at most.
+    free = max(0.0, 1 - sum(bucket.reserved.values()))
+    return free * bucket.granted.get(host, 0.0) / total
 
 
 @dataclass(slots=True, kw_only=True)
@@ -218,6 +231,7 @@
     filled_at: float
     tokens: float = 0.0
     share: float = NO_SHARE
+    told_at: float = 0.0
     demand: float = 0.0
     demand_at: float = 0.0
     used_at: float = 0.0
@@ -233,9 +247,12 @@
 
     Args:
         now: Seconds.
+        random: Source of the choice of hosts that get a token in advance.
     """
 
-    def __init__(self, *, now: float):
+    def __init__(self, *, now: float, random: Random):
+        self._random = random
+        self._hosts = FIRST_HOSTS
         self._purses: dict[WorkspaceId, _Purse] = {}
         self._answered_at = now
         self._unanswered_since = math.inf
@@ -251,6 +268,10 @@
                 continue
             purse.limit = limit
 
+    def set_hosts(self, count: int) -> None:
+        """Takes the number of live hosts."""
+        self._hosts = max(1, count)
+
     def is_cut_off(self, now: float) -> bool:
         """Whether no leader answers, so that this host refills itself."""
         if now - self._unanswered_since > ASK_TIMEOUT:
@@ -310,7 +331,7 @@
             purse.asked += urgent
             purse.asked_at = now
             self._unanswered_since = min(self._unanswered_since, now)
-            wanted[workspace] = [urgent, 0, purse.share]
+            wanted[workspace] = [urgent, 0, self._find_share(purse)]
         return wanted
 
     def build_spare(self, now: float) -> dict[str, list[float]]:
@@ -320,7 +341,7 @@
             self._drop_idle(now, purse)
             spare = self._count_spare(now, purse)
             if spare:
-                wanted[workspace] = [0, spare, purse.share]
+                wanted[workspace] = [0, spare, self._find_share(purse)]
         return wanted
 
     def _count_spare(self, now: float, purse: _Purse) -> int:
@@ -350,7 +371,9 @@
             purse.tokens += count
             purse.filled_at = now
             purse.has_advance = True
-            purse.share = shares.get(workspace, purse.share)
+            if workspace in shares:
+                purse.share = shares[workspace]
+                purse.told_at = now
             if not urgent:
                 continue
             purse.asked = 0
@@ -366,15 +389,37 @@
         purse.filled_at = now
         if not self.is_cut_off(now):
             return
-        share = purse.share if purse.share >= 0 else FIRST_SHARE
+        share = self._find_share(purse)
+        if share < 0:
+            share = 1 / self._hosts
         rate = purse.limit.rate * share * REFILL_SHARE
         if purse.waiting and purse.has_advance:
             # A small share would take longer to make up a token than a request waits.
             purse.has_advance = False
-            purse.tokens = max(1.0, rate * ADVANCE_TIME, purse.tokens)
+            purse.tokens = max(self._draw(rate * ADVANCE_TIME), purse.tokens)
         # Not more than one second's share is kept, as no one knows for how long.
         purse.tokens = min(max(1.0, rate, purse.tokens), purse.tokens + elapsed * rate)
 
+    def _find_share(self, purse: _Purse) -> float:
+        """Returns the host's share at the last answer of a leader, or `NO_SHARE`.
+
+        A leader tells a share right after it granted a token. The share of a host that
+        asked for none since is smaller by then.
+        """
+        if purse.share < 0:
+            return NO_SHARE
+        age = max(0.0, self._answered_at - purse.told_at)
+        return purse.share * math.exp(-age / SHARE_MEMORY)
+
+    def _draw(self, advance: float) -> float:
+        """Returns an advance; less than a token becomes a whole one for some hosts.
+
+        With a whole token for each of many hosts, they would exceed the rate together.
+        """
+        if advance >= 1 or self._random.random() >= advance:
+            return advance
+        return 1.0
+
     def _drop_idle(self, now: float, purse: _Purse) -> None:
         if now - purse.used_at > IDLE_TIME:
             purse.tokens = 0.0
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -132,7 +132,7 @@
         collect: Callable[[], tuple[list, list]],
     ):
         self.view = FleetView()
-        self.wallet = RateWallet(now=clock())
+        self.wallet = RateWallet(now=clock(), random=random)
         self.blocks = KeyBlocks()
         self.is_leaving = False
         self.confirmed_at = float("-inf")
@@ -389,6 +389,7 @@
                     stream=stream,
                 )
             )
+        self.wallet.set_hosts(len(hosts))
         self._on_hosts(hosts)
 
     def _change_view(self) -> None:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -25,9 +25,12 @@
         self.now = 0.0
         self.authority = RateAuthority(now=0.0)
         self.authority.configure(0.0, self.limits)
-        self.wallets = [RateWallet(now=0.0) for _ in range(hosts)]
+        self.wallets = [
+            RateWallet(now=0.0, random=Random(host)) for host in range(hosts)
+        ]
         for wallet in self.wallets:
             wallet.configure(0.0, self.limits)
+            wallet.set_hosts(hosts)
         self.delay = delay
         self.has_leader = True
         self.cut_off = set()
@@ -196,6 +199,33 @@
     assert tenant.find_most() <= tenant.bound
 
 
+@pytest.mark.parametrize("silence", [0.0, 0.4, 1.0])
+@pytest.mark.parametrize(
+    ("hosts", "rate", "cut_off"), [(9, 110, 5), (9, 61, 3), (79, 41, 23)]
+)
+def test_limit_holds_while_some_hosts_and_the_leader_are_lost(
+    hosts, rate, cut_off, silence
+):
+    """Guards against shares that add up to more than one.
+
+    The pattern: some hosts cannot reach control, a flood begins, and later the leader
+    is replaced. Hosts that are heard must not be told the shares of those that are not,
+    what silent hosts spent must count, and many hosts must not take a token each.
+    """
+    tenant = Tenant(rate=rate, burst=rate, hosts=hosts)
+    tenant.run(5.0, rate / 1.6)
+    tenant.cut_off = set(range(cut_off))
+    tenant.run(0.1, rate / 1.6)
+    tenant.run(1.5, 5 * rate)
+    if silence:
+        tenant.has_leader = False
+        tenant.answers = []
+        tenant.run(silence, 5 * rate)
+        tenant.elect()
+    tenant.run(6.0, 5 * rate)
+    assert tenant.find_most() <= tenant.bound
+
+
 def test_request_that_waits_is_served_soon_after_the_leader_falls_silent():
     """Guards against refusals in the first second of a silent leader.
 
