Give a gate three servers without keys, and learn its wait by time

One gate served up to eight servers, and their answers of 5 KB filled its host's link of 2 Mbit/s. Each of 79 hosts sends a gate a request in a second or less, and gave an answer 0.05 of the usual wait.

Change: groups of three servers of equal size, the weight of an answer grows with the time since the last one, and gates of about equal cost are chosen by chance.

Sites of up to three such servers in a failure domain keep their groups.

--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -1,5 +1,6 @@
 """Finds the gate of a request in a fleet that announces itself to control."""
 
+import math
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from random import Random
@@ -26,7 +27,9 @@
 FIRST_WAIT = 0.150  # seconds, assumed of a gate that has not answered yet
 MOST_WAIT = 2.0  # seconds; a longer wait says no more
 WAIT_MEMORY = 0.5  # seconds after which a reported wait has faded to the usual one
-USUAL_WEIGHT = 0.05  # of one answer in the usual wait
+USUAL_WEIGHT = 0.05  # of one answer in the usual wait, at least
+USUAL_MEMORY = 3.0  # seconds after which the usual wait is that of the last answers
+EQUAL_COST = 0.030  # seconds; gates that differ by less are chosen by chance
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,6 +40,24 @@
     usual: float = FIRST_WAIT
     told_at: float = 0.0
 
+    def note(self, now: float, wait: float) -> None:
+        """Takes the wait at a gate.
+
+        The weight of an answer grows with the time since the last one. Each of many
+        hosts sends a gate a request in a second or less, and would otherwise go on
+        sending to a gate for long after it has become slow.
+        """
+        memory = 1 - math.exp(-max(0.0, now - self.told_at) / USUAL_MEMORY)
+        weight = max(USUAL_WEIGHT, memory)
+        self.usual += weight * (min(wait, MOST_WAIT) - self.usual)
+        self.wait = wait
+        self.told_at = now
+
+    def estimate(self, now: float) -> float:
+        """Returns the wait to expect, in seconds."""
+        recent = max(0.0, 1 - (now - self.told_at) / WAIT_MEMORY)
+        return self.usual + recent * (min(self.wait, MOST_WAIT) - self.usual)
+
 
 class FleetFinder(TargetFinder):
     """Finds targets in the view and among the live hosts.
@@ -107,17 +128,14 @@
         outcome: Outcome,
     ) -> None:
         """Counts the end of an attempt."""
-        load = self._get_load(target.server)
         if outcome is Outcome.SHED and not admitted.routing_key:
+            load = self._get_load(target.server)
             load.wait = MOST_WAIT
             load.told_at = self._clock()
 
     def note_wait(self, target: Target, wait: float) -> None:
         """Takes what a gate said of its load."""
-        load = self._get_load(target.server)
-        load.wait = wait
-        load.usual += USUAL_WEIGHT * (min(wait, MOST_WAIT) - load.usual)
-        load.told_at = self._clock()
+        self._get_load(target.server).note(self._clock(), wait)
 
     def note_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
         """Takes why an attempt failed.
@@ -150,7 +168,7 @@
             return None
         if self._blocks.find(now, pool, key, row.epoch):
             return None
-        gate = name_gate(record, keyed=True)
+        gate = name_gate(record)
         return Target(
             host=self._choose_host(gate),
             server=ServerId(gate.name),
@@ -183,12 +201,9 @@
         )
 
     def _rank_gate(self, gate: GateId) -> float:
-        load = self._get_load(gate.name)
-        age = self._clock() - load.told_at
-        recent = max(0.0, 1 - age / WAIT_MEMORY)
-        wait = load.usual + recent * (min(load.wait, MOST_WAIT) - load.usual)
+        wait = self._get_load(gate.name).estimate(self._clock())
         foreign = FOREIGN_COST if gate.failure_domain != self._domain else 0.0
-        return wait + foreign
+        return wait + foreign + EQUAL_COST * self._random.random()
 
     def _choose_host(self, gate: GateId) -> HostId:
         ranked = self._ranks.get(gate.name)
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -47,7 +47,9 @@
 from monsoonlug.messages import RequestHead
 from monsoonlug.serverqueue import ServerQueue, WorkModel
 
-GROUP_SIZE = 8  # servers of a pool without keys that share one gate
+# Servers of a pool without keys that share one gate. Answers of 5 KB from eight busy
+# servers fill the 2 Mbit/s link of a small host; those of three take half of it.
+GROUP_SIZE = 3
 LEAVING_GRACE = 1.2  # seconds; a leaving server must get nothing 2 s after its ack
 DOMAIN_GRACE = 3.5  # seconds; a domain out of service must get nothing after 5 s
 STOP_TIMEOUT = 10.0  # seconds; more than a stop may take
@@ -73,19 +75,13 @@
     stream: str
 
 
-def name_gate(record: ServerPut, *, keyed: bool, groups: int = 1) -> GateId:
-    """Returns the gate of a server.
-
-    Args:
-        record: The server.
-        keyed: Whether the servers of its pool own keys.
-        groups: Number of gates of the pool in the server's failure domain.
-    """
-    name = str(record.server)
-    if not keyed:
-        number = xxhash.xxh32_intdigest(record.server.encode()) % groups
-        name = f"{record.pool}/{record.failure_domain}/{number}"
-    return GateId(pool=record.pool, name=name, failure_domain=record.failure_domain)
+def name_gate(record: ServerPut) -> GateId:
+    """Returns the gate of a server that may own keys."""
+    return GateId(
+        pool=record.pool,
+        name=str(record.server),
+        failure_domain=record.failure_domain,
+    )
 
 
 def rank_hosts(gate: GateId, hosts: list[LiveHost]) -> Iterator[LiveHost]:
@@ -109,19 +105,36 @@
     out of service have none.
     """
     keyed = {item.name: item.keyed for item in view.items.iterate(ItemKind.POOL)}
-    counts: dict[tuple[PoolId, FailureDomain], int] = {}
-    for record in view.servers.values():
-        place = (record.pool, record.failure_domain)
-        counts[place] = counts.get(place, 0) + 1
+    places: dict[tuple[PoolId, FailureDomain], list[ServerPut]] = {}
     gates: dict[GateId, list[ServerPut]] = {}
     for record in view.servers.values():
         if record.pool not in keyed:
             continue
-        if not keyed[record.pool] and not view.is_in_service(record):
-            continue
-        count = counts[record.pool, record.failure_domain]
-        groups = -(-count // GROUP_SIZE)
-        gate = name_gate(record, keyed=keyed[record.pool], groups=groups)
+        if keyed[record.pool]:
+            gates[name_gate(record)] = [record]
+        elif view.is_in_service(record):
+            place = (record.pool, record.failure_domain)
+            places.setdefault(place, []).append(record)
+    for place, records in places.items():
+        gates.update(_group_servers(*place, records))
+    return gates
+
+
+def _group_servers(
+    pool: PoolId, domain: FailureDomain, records: list[ServerPut]
+) -> dict[GateId, list[ServerPut]]:
+    """Returns gates of about equal size.
+
+    Servers are taken in the order of a hash, so one that comes or goes moves at most one
+    server of each gate to the next.
+    """
+    records.sort(key=lambda item: xxhash.xxh32_intdigest(item.server.encode()))
+    count = -(-len(records) // GROUP_SIZE)
+    gates: dict[GateId, list[ServerPut]] = {}
+    for position, record in enumerate(records):
+        number = position * count // len(records)
+        name = f"{pool}/{domain}/{number}"
+        gate = GateId(pool=pool, name=name, failure_domain=domain)
         gates.setdefault(gate, []).append(record)
     return gates
 
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -27,11 +27,11 @@
     )
 
 
-def build_pool(name="desk", *, version=1):
+def build_pool(name="desk", *, version=1, keyed=True):
     return PoolItem(
         name=name,
         version=version,
-        keyed=True,
+        keyed=keyed,
         connections=10,
         cold_seconds=3.0,
         cold_rate=2.0,
