--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: install demo test bench slopes format
+.PHONY: install demo test bench slopes soak format
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(PY) || python3.11 -m venv $(VENV)
@@ -15,8 +15,8 @@
 	$(PY) -m standins.demo
 
 test: install
-	$(VENV)/bin/ruff format --check src tests standins bench
-	$(VENV)/bin/ruff check src tests standins bench
+	$(VENV)/bin/ruff format --check src tests standins bench soak
+	$(VENV)/bin/ruff check src tests standins bench soak
 	$(PY) -m pytest
 
 slopes: install
@@ -25,6 +25,9 @@
 	$(PY) -m bench.deployment --deployment tangle-free
 	$(PY) -m bench.deployment --deployment luz-de-palco
 
+soak: install
+	PYTHONPATH=src:. $(PY) -m soak --first 1 --last 10
+
 format: install
-	$(VENV)/bin/ruff format src tests standins bench
-	$(VENV)/bin/ruff check --fix src tests standins bench
+	$(VENV)/bin/ruff format src tests standins bench soak
+	$(VENV)/bin/ruff check --fix src tests standins bench soak
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -125,8 +125,8 @@
 ) -> dict[GateId, list[ServerPut]]:
     """Returns gates of about equal size.
 
-    Servers are taken in the order of a hash, so one that comes or goes moves at most one
-    server of each gate to the next.
+    Servers are taken in the order of a hash, so one that comes or goes moves at most
+    one server of each gate to the next.
     """
     records.sort(key=lambda item: xxhash.xxh32_intdigest(item.server.encode()))
     count = -(-len(records) // GROUP_SIZE)
--- a/tests/proxies.py
+++ b/tests/proxies.py
@@ -1,14 +1,31 @@
-"""A TCP proxy that can stop passing bytes, for tests with cut-off processes."""
+"""A TCP proxy that cuts, delays and resets, for tests with faulty links."""
 
 import asyncio
 import contextlib
 import threading
+from dataclasses import dataclass, field
 
 from monsoonlug.settings import split_address
 
 READ_SIZE = 65_536  # bytes
 
 
+def _build_flowing() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
+@dataclass(slots=True, kw_only=True)
+class _Link:
+    """State of one proxy; a direction that does not flow holds its bytes back."""
+
+    forward: asyncio.Event = field(default_factory=_build_flowing)
+    back: asyncio.Event = field(default_factory=_build_flowing)
+    delay: float = 0.0
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+
 class Proxies:
     """Proxies on an event loop in a thread of its own."""
 
@@ -16,7 +33,7 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
-        self._flowing: dict[str, asyncio.Event] = {}
+        self._links: dict[str, _Link] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def add(self, target: str) -> str:
@@ -24,15 +41,33 @@
         opening = asyncio.run_coroutine_threadsafe(self._open(target), self._loop)
         return opening.result(timeout=10)
 
-    def cut(self, addresses) -> None:
-        """Holds back all bytes, also of new connections."""
+    def cut(self, addresses, *, one_way=False) -> None:
+        """Holds back all bytes, also of new connections.
+
+        With `one_way`, only those to the target.
+        """
         for address in addresses:
-            self._loop.call_soon_threadsafe(self._flowing[address].clear)
+            link = self._links[address]
+            self._loop.call_soon_threadsafe(link.forward.clear)
+            if not one_way:
+                self._loop.call_soon_threadsafe(link.back.clear)
 
     def mend(self, addresses) -> None:
         """Passes on all bytes again, those that were held back first."""
         for address in addresses:
-            self._loop.call_soon_threadsafe(self._flowing[address].set)
+            link = self._links[address]
+            self._loop.call_soon_threadsafe(link.forward.set)
+            self._loop.call_soon_threadsafe(link.back.set)
+
+    def delay(self, addresses, seconds: float) -> None:
+        """Passes bytes on later by some seconds; 0 ends that."""
+        for address in addresses:
+            self._links[address].delay = seconds
+
+    def reset(self, addresses) -> None:
+        """Resets the connections that are open now."""
+        for address in addresses:
+            self._loop.call_soon_threadsafe(self._abort, self._links[address])
 
     def stop(self) -> None:
         """Closes everything."""
@@ -46,15 +81,19 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @staticmethod
+    def _abort(link: _Link) -> None:
+        for writer in list(link.writers):
+            writer.transport.abort()
+
     async def _open(self, target: str) -> str:
-        flowing = asyncio.Event()
-        flowing.set()
+        link = _Link()
 
         async def accept(reader, writer):
             task = asyncio.current_task()
             self._tasks.add(task)
             try:
-                await self._join(flowing, target, reader, writer)
+                await self._join(link, target, reader, writer)
             except asyncio.CancelledError:
                 return
             finally:
@@ -62,30 +101,34 @@
 
         server = await asyncio.start_server(accept, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        self._flowing[f"{host}:{port}"] = flowing
+        self._links[f"{host}:{port}"] = link
         return f"{host}:{port}"
 
-    async def _join(self, flowing, target, reader, writer) -> None:
+    async def _join(self, link, target, reader, writer) -> None:
         try:
-            await flowing.wait()
+            await link.forward.wait()
             host, port = split_address(target)
             back_reader, back_writer = await asyncio.open_connection(host, port)
         except OSError:
             writer.close()
             return
+        link.writers |= {writer, back_writer}
         try:
             await asyncio.gather(
-                _pass_on(flowing, reader, back_writer),
-                _pass_on(flowing, back_reader, writer),
+                _pass_on(link, link.forward, reader, back_writer),
+                _pass_on(link, link.back, back_reader, writer),
             )
         finally:
+            link.writers -= {writer, back_writer}
             writer.close()
             back_writer.close()
 
 
-async def _pass_on(flowing: asyncio.Event, reader, writer) -> None:
+async def _pass_on(link: _Link, flowing: asyncio.Event, reader, writer) -> None:
     with contextlib.suppress(OSError):
         while data := await reader.read(READ_SIZE):
+            if link.delay:
+                await asyncio.sleep(link.delay)
             await flowing.wait()
             writer.write(data)
             await writer.drain()
