Refuse pooled requests at a gate that tries a slowed server

Cause: after a cut-back a gate sends one request at a time, and requests of several hosts, those that waited already and those that still chose this server, queued behind that one.

Change: a gate whose server is suspected or was cut back refuses what it has for no slice as not run, at once, apart from the one request that tries the server; the caller's host sends it to another server. Requests for slices still wait.

The state machine of the gate takes refusals after the end of a request, too.

--- a/src/monsoonlug/gate.py
+++ b/src/monsoonlug/gate.py
@@ -110,6 +110,9 @@
             return Refusal(error=DeadlineExceeded)
         if self.phase is ServerPhase.DRAINING and request.slice == NO_SLICE:
             return Refusal(error=ServerDraining)
+        if request.slice == NO_SLICE and self.ramp.is_probing and self._is_busy(now):
+            # Another server can run it sooner than one that is tried with one request.
+            return _refuse_overloaded(self.ramp.spacing())
         held = request.slice in self._held
         if not held and not self._stopped:
             late = self._estimate_lateness(now, request)
@@ -171,6 +174,8 @@
             linger = min(self.ramp.history.recent, MOST_LINGER)
             heapq.heappush(self._lingering, now + linger)
             self.ramp.abandoned(now, latency)
+        if self.ramp.is_probing:
+            self._refuse_pooled()
         return self._end_slice(request.slice)
 
     def expire(self, now: float) -> list[Refused]:
@@ -185,6 +190,14 @@
         refused, self._refused = self._refused, []
         return refused
 
+    def _refuse_pooled(self) -> None:
+        for request in list(self._waiting.values()):
+            if request.slice == NO_SLICE:
+                self._refuse(request, _refuse_overloaded(self.ramp.spacing()))
+
+    def _is_busy(self, now: float) -> bool:
+        return bool(self._waiting) or self._count_busy(now) > 0
+
     def set_phase(self, now: float, phase: ServerPhase, cold_rate: float) -> None:
         """Takes the phase of each announcement of the server.
 
--- a/src/monsoonlug/ramp.py
+++ b/src/monsoonlug/ramp.py
@@ -112,6 +112,11 @@
         if phase is ServerPhase.WARM and was_cold and not self._cut:
             self._begin_growth()
 
+    @property
+    def is_probing(self) -> bool:
+        """Whether a server that was cut back or suspected is tried with one request."""
+        return self._cut or self.stage is Stage.SUSPECT
+
     def allows(self, now: float, running: int) -> bool:
         """Whether one more request may be sent while `running` run."""
         if self.stage is Stage.FULL:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -19,7 +19,7 @@
 from monsoonlug.fairness import NO_SLICE, QueuedRequest
 from monsoonlug.gate import Gate, Outcome
 from monsoonlug.ids import RequestClass, ServerPhase
-from monsoonlug.ramp import Stage
+from monsoonlug.ramp import HISTORY_ANSWERS, Stage
 
 LIMITS = PoolLimits(slots=2, cold_rate=20.0, cold_seconds=1.0, queue=6)
 NEVER = 1e9  # seconds
@@ -131,6 +131,8 @@
         if outcome is Outcome.SHED:
             self.cut = True
             self.become_cold()
+        # A server that is only tried from now on refuses what waits without a slice.
+        self.take_refused()
 
     @rule(phase=st.sampled_from([*ServerPhase, ServerPhase.WARM]))
     def report(self, phase):
@@ -369,3 +371,43 @@
         random=Random(1),
     )
     assert min(served.values()) >= 0.95 * 60 * due
+
+
+def suspect_a_slow_server(gate):
+    """Answers quickly until a jump can be judged, then slowly; returns the time."""
+    now = 0.0
+    for number in range(HISTORY_ANSWERS + 1):
+        request = make_request(number)
+        assert gate.enqueue(now, request) is None
+        assert gate.next(now, NEVER) == [request]
+        now += 0.010
+        gate.finished(now, request.request_id, Outcome.ANSWERED, 0.010)
+    for number in range(100, 104):
+        assert gate.enqueue(now, make_request(number)) is None
+    sent = gate.next(now, NEVER)
+    gate.finished(now + 0.4, sent[0].request_id, Outcome.ANSWERED, 0.4)
+    assert gate.ramp.stage is Stage.SUSPECT
+    return now + 0.4
+
+
+def test_requests_do_not_wait_behind_the_probe_of_a_slowed_server():
+    """Guards against requests of several hosts that queue behind one probe.
+
+    The pattern: one of several servers turns slow while requests wait for it. Other
+    servers can run them sooner, so they are refused as not run, and so are later ones.
+    """
+    gate = make_gate()
+    now = suspect_a_slow_server(gate)
+    refused = {request.request_id for request, _ in gate.expire(now)}
+    assert refused == {"r102", "r103"}
+    assert gate.running == 1
+    refusal = gate.enqueue(now, make_request(200))
+    assert refusal.error is Overloaded
+    assert refusal.retry_after > 0
+
+
+def test_requests_for_slices_still_wait_for_a_slowed_server():
+    """Guards against refusals of keys that no other server may serve."""
+    gate = make_gate()
+    now = suspect_a_slow_server(gate)
+    assert gate.enqueue(now, make_request(200, slice=7)) is None
