Count a repeated GET on a lost connection as unknown, not as not run

The stand-in caller's HTTP library repeats a GET by itself when a kept connection is lost; with the entry killed, the repeat found no listener, and the caller counted that as no connection. The system had answered nothing.

Change: the caller notes whether a request's head was sent before.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -139,6 +139,17 @@
     return None
 
 
+def build_trace() -> aiohttp.TraceConfig:
+    """Returns a trace that adds to a request's list each time its head is sent."""
+
+    async def note(session, context, parameters) -> None:
+        context.trace_request_ctx.append(True)
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(note)
+    return trace
+
+
 class Caller:
     """Sends the planned requests.
 
@@ -160,7 +171,10 @@
         timeout = aiohttp.ClientTimeout(total=self.settings.timeout)
         connector = aiohttp.TCPConnector(limit=CONNECTIONS)
         async with aiohttp.ClientSession(
-            connector=connector, timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[build_trace()],
         ) as session:
             begun = time.monotonic()
             async with asyncio.TaskGroup() as group:
@@ -193,15 +207,21 @@
             headers["Idempotency-Key"] = call.call
         begun = time.monotonic()
         self.started[call.call] = begun
+        sent: list[bool] = []
         try:
             async with session.request(
                 "POST" if call.body else "GET",
                 f"http://{address}/{call.operation.value}/{call.key}",
                 headers=headers,
                 data=call.body or None,
+                trace_request_ctx=sent,
             ) as response:
                 body = await response.read()
         except aiohttp.ClientConnectorError:
+            if sent:
+                # The library repeats a GET by itself after a kept connection was lost.
+                self.summary.unknown["connection-lost"] += 1
+                return
             self._count_not_run(call, "no-connection")
             return
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -137,6 +137,34 @@
     assert summary.refused == {"no-connection": 40}
 
 
+async def test_request_on_a_lost_connection_may_have_run():
+    """Guards against "not run" for a request that the library sent once and repeated.
+
+    The server takes the second request of a kept connection, and is gone.
+    """
+    received = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while len(received) < 2:
+                received.append(await reader.readuntil(b"\r\n\r\n"))
+                if len(received) == 1:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        server.close()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    settings = CallerSettings(
+        addresses=[f"{host}:{port}"], rate=10.0, seconds=0.2, shares=(1.0, 0, 0, 0)
+    )
+    caller = Caller(settings=settings)
+    await caller.run()
+    assert len(received) == 2
+    assert caller.not_run == []
+    assert caller.summary.unknown["connection-lost"] == 1
+
+
 @pytest.mark.parametrize("chunked", [0, 1])
 async def test_large_answer_is_whole(start, connect, chunked):
     """Guards against a large answer that is not the one its digest names."""
