Give each process of a test fleet a port that nothing else can take

Ports were asked from the kernel and given back before their process started, so the kernel could give the same one again, to a process or to an outgoing connection.

Change: ports come from below the ephemeral range, each at most once in a process.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 settings file, in a folder that the caller names.
 """
 
+import itertools
 import json
 import os
 import signal
@@ -13,14 +14,16 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 
 STOP_TIMEOUT = 90.0  # seconds; more than a graceful stop may take
 POLL_INTERVAL = 0.05  # seconds
 HTTP_TIMEOUT = 2.0  # seconds
 DOMAINS = ("a", "b", "c", "d")
+PORTS = range(20_000, 32_000)  # below Linux's default range of ephemeral ports
 SOURCE = Path(__file__).resolve().parent.parent
 
 
@@ -28,11 +31,31 @@
     """A process did not do in time what was expected."""
 
 
+def _walk_ports() -> Iterator[int]:
+    start = Random(os.getpid()).randrange(len(PORTS))
+    for step in itertools.count():
+        yield PORTS[(start + step) % len(PORTS)]
+
+
+_ports = _walk_ports()
+
+
 def find_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Returns a loopback address with a port that is free and not returned before.
+
+    The port is outside the range from which the kernel takes ports of outgoing
+    connections and of listeners without a port. One of these could take it before the
+    process that it is meant for.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
 
 
 def build_environment() -> dict[str, str]:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -9,10 +9,12 @@
 from monsoonlug.daemons import EXIT_STOPPED, DaemonWorker
 from monsoonlug.entry import EntryService
 from monsoonlug.journal import FileStorage
-from monsoonlug.settings import ControlSettings, EntrySettings
+from monsoonlug.settings import ControlSettings, EntrySettings, split_address
 from standins.fleet import find_address
 from tests.log_helpers import set_up_logs
 
+EPHEMERAL_PORT = 32_768  # the first one that Linux takes for connections
+
 
 @pytest.fixture
 def settings(tmp_path):
@@ -112,3 +114,10 @@
     lines = run_failing(FailingService(settings=settings), capsys)
     assert "main: Stopped after an error: RuntimeError." in lines[-1]
     assert "text of a request" not in "\n".join(lines)
+
+
+def test_addresses_for_processes_are_not_given_twice():
+    """Guards against two processes of a fleet, or a connection, at one port."""
+    addresses = [find_address() for _ in range(500)]
+    assert len(set(addresses)) == len(addresses)
+    assert all(split_address(address)[1] < EPHEMERAL_PORT for address in addresses)
