--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -32,7 +32,6 @@
 
 BOOT_SIZE = 8  # bytes
 LINGER_TIME = 10.0  # seconds; more than a host takes to stop
-ASK_TICK = 0.050  # seconds between two looks at the tokens that are wanted
 LEAVE_NOTICE = 2.6  # seconds; the balancer asks every second and goes by two answers
 END_MARGIN = 0.7  # seconds of the grace time that are left for closing
 POLL_INTERVAL = 0.020  # seconds between two checks while this host leaves
@@ -165,7 +164,6 @@
         await self._start_metrics()
         self._spawn(self._subscription.run())
         self._spawn(self._run_watch())
-        self._spawn(self._run_asks())
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
     async def on_stop(self) -> None:
@@ -322,8 +320,3 @@
         while True:
             await asyncio.sleep(TICK)
             self._watch.tick()
-
-    async def _run_asks(self) -> None:
-        while True:
-            await asyncio.sleep(ASK_TICK)
-            self._subscription.ask()
--- a/src/monsoonlug/peerwatch.py
+++ b/src/monsoonlug/peerwatch.py
@@ -23,7 +23,7 @@
 @dataclass(slots=True, kw_only=True)
 class _Peer:
     heard_at: float
-    asked_at: float | None = None
+    asked_at: float = 0.0
     is_silent: bool = False
 
 
@@ -47,6 +47,7 @@
         self._list_busy = list_busy
         self._send = send
         self._peers: dict[HostId, _Peer] = {}
+        self._asked: set[HostId] = set()
         self._number = 0
 
     def is_silent(self, host: HostId) -> bool:
@@ -57,10 +58,12 @@
     def open(self, host: HostId) -> None:
         """Takes a new stream to a host."""
         self._peers[host] = _Peer(heard_at=self._clock())
+        self._asked.discard(host)
 
     def close(self, host: HostId) -> None:
         """Takes the loss of the stream to a host."""
         self._peers.pop(host, None)
+        self._asked.discard(host)
 
     def hear(self, host: HostId) -> None:
         """Takes any frame of a host."""
@@ -68,7 +71,7 @@
         if peer is None:
             return
         peer.heard_at = self._clock()
-        peer.asked_at = None
+        self._asked.discard(host)
         if peer.is_silent:
             peer.is_silent = False
             logger.info("Entry {} answers again.", host)
@@ -76,12 +79,13 @@
     def tick(self) -> None:
         """Asks quiet hosts, and judges those that were asked."""
         now = self._clock()
-        busy = set(self._list_busy())
-        for host, peer in self._peers.items():
-            if peer.asked_at is not None:
-                self._judge(now, host, peer)
+        for host in list(self._asked):
+            self._judge(now, host, self._peers[host])
+        for host in self._list_busy():
+            peer = self._peers.get(host)
+            if peer is None or host in self._asked:
                 continue
-            if host in busy and now - peer.heard_at > QUIET_TIME:
+            if now - peer.heard_at > QUIET_TIME:
                 self._ask(now, host, peer)
 
     def _judge(self, now: float, host: HostId, peer: _Peer) -> None:
@@ -99,4 +103,5 @@
     def _ask(self, now: float, host: HostId, peer: _Peer) -> None:
         self._number += 1
         peer.asked_at = now
+        self._asked.add(host)
         self._send(host, Ping(number=self._number))
