--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -33,8 +33,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _GateLoad:
-    """What this host knows of the load of one gate."""
+class GateLoad:
+    """What this host knows of the load of one gate; times in seconds."""
 
     wait: float = FIRST_WAIT
     usual: float = FIRST_WAIT
@@ -92,7 +92,7 @@
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
         self._ranks: dict[str, list[HostId]] = {}
-        self._loads: dict[str, _GateLoad] = {}
+        self._loads: dict[str, GateLoad] = {}
 
     def update_fleet(self, view: FleetView, gates: Iterable[GateId]) -> None:
         """Takes a view with changed items or servers, and its gates."""
@@ -215,5 +215,5 @@
                 return host
         return self._host
 
-    def _get_load(self, name: str) -> _GateLoad:
-        return self._loads.setdefault(name, _GateLoad())
+    def _get_load(self, name: str) -> GateLoad:
+        return self._loads.setdefault(name, GateLoad())
--- a/tests/test_fleet_targets.py
+++ b/tests/test_fleet_targets.py
@@ -1,6 +1,6 @@
 """Tests of the choice of a gate, without network."""
 
-from monsoonlug.fleet_targets import _GateLoad
+from monsoonlug.fleet_targets import GateLoad
 from monsoonlug.gatehost import list_gates
 from tests.test_fleet import Fleet, build_server, change, put
 from tests.test_items import build_pool
@@ -16,7 +16,7 @@
     The pattern: each host sends a gate one request in two seconds, and the wait there
     rises from 0.1 s to 0.6 s. Baseline: the same answers with equal weights.
     """
-    load = _GateLoad(usual=0.1, wait=0.1, told_at=0.0)
+    load = GateLoad(usual=0.1, wait=0.1, told_at=0.0)
     baseline = 0.1
     for answer in range(1, 4):
         load.note(2.0 * answer, 0.6)
@@ -27,7 +27,7 @@
 
 def test_answer_of_a_busy_gate_changes_its_usual_wait_little():
     """Guards against all hosts leaving a gate after one slow answer."""
-    load = _GateLoad(usual=0.1, wait=0.1, told_at=10.0)
+    load = GateLoad(usual=0.1, wait=0.1, told_at=10.0)
     load.note(10.02, 0.6)
     assert load.usual < 0.13
 
