Collect word of served keys for 50 ms before it goes to all entries

Change: word that keys are served again is collected for 50 ms. Word that takes service away and cold servers are told at once.

--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -4,6 +4,7 @@
 receipt, so an answer proves that the entry's view was in force at that moment.
 """
 
+import asyncio
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -38,6 +39,7 @@
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
 VIEW_PART = 262_144  # bytes of one `StatePush`
 HOST_TIMEOUT = 1.6  # seconds without a beat after which an entry is not listed
+READY_DELAY = 0.050  # seconds for which word of keys that are served is collected
 GRANT_AGE = (
     0.3  # seconds since the last confirmed round, above which none grants tokens
 )
@@ -77,6 +79,7 @@
         self._clock = clock
         self._period = period
         self._subscribers: set[_Subscriber] = set()
+        self._ready: list[KeyStatus] = []
         self._deltas: deque[FleetDelta] = deque(maxlen=KEPT_DELTAS)
         self._hosts: dict[HostId, _Host] = {}
         self._listed: list[list[str]] = []
@@ -113,11 +116,30 @@
         self.send_notices()
 
     def send_notices(self) -> None:
-        """Sends what the registrar has to tell all entries."""
+        """Sends what the registrar has to tell all entries.
+
+        Word of keys that are served again is collected for a moment, as it comes with
+        most heartbeats and each message costs every entry the same.
+        """
         if self.registrar is None:
             return
-        notices = _join_status(self.registrar.take_notices())
-        for notice in notices:
+        urgent = []
+        for notice in self.registrar.take_notices():
+            if not isinstance(notice, KeyStatus) or not notice.ready:
+                urgent.append(notice)
+                continue
+            if not self._ready:
+                loop = asyncio.get_running_loop()
+                loop.call_later(READY_DELAY, self._send_ready)
+            self._ready.append(notice)
+        self._send_all(urgent)
+
+    def _send_ready(self) -> None:
+        ready, self._ready = self._ready, []
+        self._send_all(ready)
+
+    def _send_all(self, notices: list[object]) -> None:
+        for notice in _join_status(notices):
             body = messages.encode(notice)
             for subscriber in list(self._subscribers):
                 self._send_encoded(subscriber, body)
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -1,12 +1,19 @@
 """Tests of the leader's streams to entries, without network."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 
 from monsoonlug import messages
-from monsoonlug.fleet_messages import RateAsk, RateGrant
-from monsoonlug.publisher import GRANT_AGE, Publisher
+from monsoonlug.fleet_messages import (
+    KeyStatus,
+    KeyStatusPush,
+    RateAsk,
+    RateGrant,
+    ServerCold,
+)
+from monsoonlug.publisher import GRANT_AGE, READY_DELAY, Publisher, _Subscriber
 from monsoonlug.rates import RateAuthority, RateLimit
 
 
@@ -47,3 +54,27 @@
     for grant in stream.sent:
         assert isinstance(grant, RateGrant)
         assert grant.tokens == {"tenant": 2}
+
+
+async def test_word_of_served_keys_is_collected(leader):
+    """Guards against a message to every entry with every heartbeat of a server.
+
+    What takes service away, and cold servers, must be told at once.
+    """
+    stream = FakeStream()
+    leader.publisher._subscribers.add(_Subscriber(stream=stream))
+    notices = []
+    leader.publisher.registrar = SimpleNamespace(take_notices=lambda: notices)
+    for start in range(10):
+        notices[:] = [KeyStatus(pool="p", start=start, end=start, epoch=3, ready=True)]
+        leader.publisher.send_notices()
+    assert stream.sent == []
+    notices[:] = [
+        KeyStatus(pool="p", start=20, end=29, epoch=4, ready=False),
+        ServerCold(server="s1", seconds=3.0),
+    ]
+    leader.publisher.send_notices()
+    assert [type(message) for message in stream.sent] == [ServerCold, KeyStatusPush]
+    await asyncio.sleep(2 * READY_DELAY)
+    assert [row[1] for row in stream.sent[-1].rows] == list(range(10))
+    assert len(stream.sent) == 3
