--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -40,9 +40,7 @@
 VIEW_PART = 262_144  # bytes of one `StatePush`
 HOST_TIMEOUT = 1.6  # seconds without a beat after which an entry is not listed
 READY_DELAY = 0.050  # seconds for which word of keys that are served is collected
-GRANT_AGE = (
-    0.3  # seconds since the last confirmed round, above which none grants tokens
-)
+GRANT_AGE = 0.3  # seconds since a confirmed round, above which no token is granted
 HOSTS_DELAY = 0.6  # seconds after an election in which entries report themselves
 
 logger = get_logger("control")
@@ -151,6 +149,7 @@
         self._authority = None
         self._hosts = {}
         self._listed = []
+        self._ready = []
         for subscriber in self._subscribers:
             subscriber.sent = None
             subscriber.hosts_sent = False
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -14,6 +14,8 @@
 from monsoonlug.ids import HostId, WorkspaceId
 from monsoonlug.items import ItemKind, ItemTable
 
+# The shares and levels below come from the model in tests/test_rates.py: with them, 9
+# or 79 hosts, some of them cut off, and a change of the leader stay within the bound.
 FIRST_LEVEL = 0.1  # of the burst, in the bucket of a new leader
 SHARE_MEMORY = 4.0  # seconds over which the shares of the hosts are averaged
 SPARE_LEVEL = 0.5  # of the burst that spare tokens must leave in the bucket
