Share the leaders' streams, their waits and the limit of a workspace

Cause: Publisher repeated how Feed serves entries (streams, slow entries, parts of a view, changes to those that reach them), FleetControlService.confirm repeated Feed.wait_confirmed, and rates.RateLimit was quota.Limit under another name.

Change: SubscriberStreams holds the streams of both, RoundQueue.wait the wait for a round, limits.Limit the type. Feed encodes a change once for all entries, as Publisher did. One difference: a call that waits at a control replica of the announced fleet is answered NotLeader when the role changes, and not only after its 0.6 s; Feed did so before.

--- a/src/monsoonlug/feed.py
+++ b/src/monsoonlug/feed.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 from monsoonlug.actions import Role, RoleChanged, RoundConfirmed
@@ -15,8 +14,7 @@
 from monsoonlug.commands import Command
 from monsoonlug.coordinator import Coordinator
 from monsoonlug.deltas import Delta
-from monsoonlug.exceptions import NotLeader, StreamClosed
-from monsoonlug.group import ControlGroup
+from monsoonlug.exceptions import NotLeader
 from monsoonlug.ids import HostId, Term, WorkspaceId
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import (
@@ -37,10 +35,8 @@
     read_demands,
     read_holdings,
 )
-from monsoonlug.rounds import RoundQueue
 from monsoonlug.sessions import SessionTable
-from monsoonlug.streams import MessageStream
-from monsoonlug.view import View
+from monsoonlug.subscribers import Subscriber, SubscriberStreams
 
 KEPT_DELTAS = 2_000
 MAX_UNSENT = 8 * 1_048_576  # bytes that may wait for a slow entry
@@ -51,15 +47,7 @@
 logger = get_logger("control")
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Subscriber:
-    """One stream of an entry; `sent` is the revision that it will reach."""
-
-    stream: MessageStream
-    sent: int | None = None
-
-
-class Feed:
+class Feed(SubscriberStreams):
     """Serves the entries as long as this replica leads.
 
     Args:
@@ -67,36 +55,17 @@
     """
 
     def __init__(self, *, clock: Callable[[], float]):
+        super().__init__(clock=clock, max_unsent=MAX_UNSENT)
         self.sessions = SessionTable()
         self.authority = TokenAuthority()
         self.coordinator: Coordinator | None = None
-        self.group: ControlGroup | None = None
-        self._clock = clock
-        self._subscribers: set[_Subscriber] = set()
         self._deltas: deque[tuple[int, int, bytes]] = deque(maxlen=KEPT_DELTAS)
-        self._rounds = RoundQueue(clock=clock, find_group=lambda: self.group)
-        self._readers: set[asyncio.Future] = set()
         self._authority_term = Term(0)
         self._deciding: asyncio.Handle | None = None
         self._report_number = 0
         self._reports: dict[HostId, HostReport] = {}
         self._reports_changed = asyncio.Event()
 
-    @property
-    def subscribers(self) -> int:
-        """Number of entries that are connected."""
-        return len(self._subscribers)
-
-    async def serve(self, stream: MessageStream) -> None:
-        """Serves one stream of an entry until it ends."""
-        subscriber = _Subscriber(stream=stream)
-        self._subscribers.add(subscriber)
-        try:
-            async for message in stream.iterate():
-                self._receive(subscriber, message)
-        finally:
-            self._subscribers.discard(subscriber)
-
     def decide(self) -> None:
         """Proposes what the coordinator decides now."""
         self._deciding = None
@@ -120,22 +89,19 @@
 
     def change_role(self, change: RoleChanged) -> None:
         """Takes the replica's new role."""
-        self._rounds.reset()
-        for reader in self._readers:
-            if not reader.done():
-                reader.set_exception(NotLeader())
+        self.rounds.reset()
         if change.role is not Role.LEADER:
             self.coordinator = None
             return
         now = self._clock()
         self.coordinator = Coordinator(now=now)
         self.sessions.begin(now, self.group.state.view.hosts.values())
-        self._rounds.begin_round(now)
+        self.rounds.begin_round(now)
 
     def confirm(self, confirmed: RoundConfirmed) -> None:
         """Answers the heartbeats that came before a round began."""
         self._begin_authority()
-        self._rounds.confirm(confirmed.round_id)
+        self.rounds.confirm(confirmed.round_id)
 
     async def wait_confirmed(self) -> None:
         """Waits until a majority has confirmed that this replica leads.
@@ -143,25 +109,14 @@
         Raises:
             NotLeader: If it does not lead.
         """
-        if not self.group.is_leader:
-            raise NotLeader()
-        reader = asyncio.get_running_loop().create_future()
-        self._readers.add(reader)
-        reader.add_done_callback(self._readers.discard)
-        self._rounds.await_round(partial(_finish, reader))
-        try:
-            await asyncio.wait_for(reader, READ_TIMEOUT)
-        except TimeoutError:
-            raise NotLeader() from None
+        await self.rounds.wait(READ_TIMEOUT)
 
     async def collect_reports(self) -> list[HostReport]:
         """Returns the reports of all entries that answer in time."""
         self._report_number += 1
         self._reports = {}
         self._reports_changed.clear()
-        ask = ReportAsk(number=self._report_number)
-        for subscriber in list(self._subscribers):
-            self._send(subscriber, ask)
+        self._send_all(ReportAsk(number=self._report_number))
         until = self._clock() + REPORT_TIMEOUT
         expected = set(self.group.state.view.hosts)
         while not expected <= set(self._reports):
@@ -186,10 +141,7 @@
         self._deltas.append((delta.base, delta.revision, packed))
         if self.group.is_leader:
             self._configure_limits()
-        for subscriber in list(self._subscribers):
-            if subscriber.sent == delta.base:
-                self._send(subscriber, DeltaPush(delta=packed))
-                subscriber.sent = delta.revision
+        self._send_delta(delta.base, delta.revision, DeltaPush(delta=packed))
 
     def take_restored(self) -> None:
         """Takes that the state was replaced as a whole."""
@@ -197,7 +149,7 @@
         for subscriber in self._subscribers:
             subscriber.sent = None
 
-    def _receive(self, subscriber: _Subscriber, message: object) -> None:
+    def _receive(self, subscriber: Subscriber, message: object) -> None:
         if not self.group.is_leader:
             leader = self.group.replica.leader
             self._send(subscriber, Redirect(leader=leader))
@@ -218,15 +170,15 @@
         self._reports[HostId(answer.host)] = HostReport.from_json(answer.report)
         self._reports_changed.set()
 
-    def _take_heartbeat(self, subscriber: _Subscriber, heartbeat: Heartbeat) -> None:
+    def _take_heartbeat(self, subscriber: Subscriber, heartbeat: Heartbeat) -> None:
         now = self._clock()
         self.coordinator.receive(now, heartbeat)
         if subscriber.sent is None:
             self._catch_up(subscriber, heartbeat.revision)
-        self._rounds.await_round(partial(self._answer, subscriber, heartbeat, now))
+        self.rounds.await_round(partial(self._answer, subscriber, heartbeat, now))
 
     def _answer(
-        self, subscriber: _Subscriber, heartbeat: Heartbeat, received_at: float
+        self, subscriber: Subscriber, heartbeat: Heartbeat, received_at: float
     ) -> None:
         host = HostId(heartbeat.host)
         if not self.sessions.renew(received_at, host, heartbeat.boot):
@@ -241,7 +193,7 @@
         )
         self._send(subscriber, answer)
 
-    def _take_ask(self, subscriber: _Subscriber, ask: TokenAsk) -> None:
+    def _take_ask(self, subscriber: Subscriber, ask: TokenAsk) -> None:
         # A new authority waits only for the tokens of registered hosts.
         if not self.sessions.is_live(HostId(ask.host), ask.boot):
             return
@@ -306,43 +258,17 @@
             )
         self.authority.configure(self._clock(), limits)
 
-    def _catch_up(self, subscriber: _Subscriber, revision: int) -> None:
+    def _catch_up(self, subscriber: Subscriber, revision: int) -> None:
         view = self.group.state.view
         if revision > view.revision:
             return
         missing = [item for item in self._deltas if item[0] >= revision]
         if revision != view.revision and (not missing or missing[0][0] != revision):
-            self._send_view(subscriber, view)
-            return
-        for _, _, packed in missing:
-            self._send(subscriber, DeltaPush(delta=packed))
-        subscriber.sent = view.revision
-
-    def _send_view(self, subscriber: _Subscriber, view: View) -> None:
-        data = view.pack()
-        for start in range(0, len(data), VIEW_PART):
-            part = ViewPush(
-                revision=view.revision,
-                last=start + VIEW_PART >= len(data),
-                data=data[start : start + VIEW_PART],
+            data = view.pack()
+            self._send_view(
+                subscriber, view.revision, data, part=ViewPush, size=VIEW_PART
             )
-            self._send(subscriber, part)
+        else:
+            for _, _, packed in missing:
+                self._send(subscriber, DeltaPush(delta=packed))
         subscriber.sent = view.revision
-
-    def _send(self, subscriber: _Subscriber, message: object) -> None:
-        stream = subscriber.stream
-        if stream.closed:
-            return
-        if stream.unsent > MAX_UNSENT:
-            logger.warning("Closed the stream to {}: it is too slow.", stream.peer)
-            stream.close()
-            return
-        try:
-            stream.send(message)
-        except StreamClosed:
-            return
-
-
-def _finish(reader: asyncio.Future) -> None:
-    if not reader.done():
-        reader.set_result(None)
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -323,19 +323,11 @@
         Raises:
             NotLeader: If it does not lead.
         """
-        now = read_clock()
         if not self._group.is_leader:
             raise NotLeader()
-        if fresh and now - self._replica.confirmed_at() < FRESH_FOR:
+        if fresh and read_clock() - self._replica.confirmed_at() < FRESH_FOR:
             return
-        reader = asyncio.get_running_loop().create_future()
-        self._publisher.rounds.await_round(
-            lambda: reader.done() or reader.set_result(None)
-        )
-        try:
-            await asyncio.wait_for(reader, READ_TIMEOUT)
-        except TimeoutError:
-            raise NotLeader() from None
+        await self._publisher.rounds.wait(READ_TIMEOUT)
 
     async def _start_metrics(self) -> None:
         watch = self.instruments.watch
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -12,7 +12,7 @@
 
 from monsoonlug import messages
 from monsoonlug.actions import Role, RoleChanged, RoundConfirmed
-from monsoonlug.exceptions import NotLeader, StreamClosed
+from monsoonlug.exceptions import NotLeader
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import (
     EntryAnswer,
@@ -25,15 +25,13 @@
     RateGrant,
     StatePush,
 )
-from monsoonlug.group import ControlGroup
 from monsoonlug.ids import HostId, PoolId, ServerId, WorkspaceId
 from monsoonlug.items import Item
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import Redirect
 from monsoonlug.rates import RateAuthority, list_limits
 from monsoonlug.registrar import Registrar
-from monsoonlug.rounds import RoundQueue
-from monsoonlug.streams import MessageStream
+from monsoonlug.subscribers import Subscriber, SubscriberStreams
 
 KEPT_DELTAS = 500
 MAX_UNSENT = 4 * 1_048_576  # bytes that may wait for a slow entry
@@ -46,22 +44,13 @@
 logger = get_logger("control")
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Subscriber:
-    """One stream of an entry; `sent` is the revision that it will reach."""
-
-    stream: MessageStream
-    sent: int | None = None
-    hosts_sent: bool = False
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Host:
     beat: EntryBeat
     heard_at: float
 
 
-class Publisher:
+class Publisher(SubscriberStreams):
     """Serves the entries as long as this replica leads.
 
     Args:
@@ -70,34 +59,16 @@
     """
 
     def __init__(self, *, clock: Callable[[], float], period: float):
-        self.group: ControlGroup | None = None
+        super().__init__(clock=clock, max_unsent=MAX_UNSENT)
         self.registrar: Registrar | None = None
-        self.rounds = RoundQueue(clock=clock, find_group=lambda: self.group)
         self._authority: RateAuthority | None = None
-        self._clock = clock
         self._period = period
-        self._subscribers: set[_Subscriber] = set()
         self._ready: list[KeyStatus] = []
         self._deltas: deque[FleetDelta] = deque(maxlen=KEPT_DELTAS)
         self._hosts: dict[HostId, _Host] = {}
         self._listed: list[list[str]] = []
         self._led_since = 0.0
 
-    @property
-    def subscribers(self) -> int:
-        """Number of entries that are connected."""
-        return len(self._subscribers)
-
-    async def serve(self, stream: MessageStream) -> None:
-        """Serves one stream of an entry until it ends."""
-        subscriber = _Subscriber(stream=stream)
-        self._subscribers.add(subscriber)
-        try:
-            async for message in stream.iterate():
-                self._receive(subscriber, message)
-        finally:
-            self._subscribers.discard(subscriber)
-
     def decide(self) -> None:
         """Proposes what the registrar decides now, and lists the live entries."""
         if self.registrar is None or not self.group.is_leader:
@@ -130,17 +101,15 @@
                 loop = asyncio.get_running_loop()
                 loop.call_later(READY_DELAY, self._send_ready)
             self._ready.append(notice)
-        self._send_all(urgent)
+        self._send_notices(urgent)
 
     def _send_ready(self) -> None:
         ready, self._ready = self._ready, []
-        self._send_all(ready)
+        self._send_notices(ready)
 
-    def _send_all(self, notices: list[object]) -> None:
+    def _send_notices(self, notices: list[object]) -> None:
         for notice in _join_status(notices):
-            body = messages.encode(notice)
-            for subscriber in list(self._subscribers):
-                self._send_encoded(subscriber, body)
+            self._send_all(notice)
 
     def change_role(self, change: RoleChanged) -> None:
         """Takes the replica's new role."""
@@ -186,11 +155,7 @@
             self.registrar.note_committed(self._clock(), changes)
             if any(isinstance(change, Item) for change in changes):
                 self._authority.configure(self._clock(), list_limits(self._view.items))
-        body = messages.encode(delta)
-        for subscriber in list(self._subscribers):
-            if subscriber.sent == delta.base:
-                self._send_encoded(subscriber, body)
-                subscriber.sent = delta.revision
+        self._send_delta(delta.base, delta.revision, delta)
 
     def take_restored(self) -> None:
         """Takes that the state was replaced as a whole."""
@@ -202,7 +167,7 @@
     def _view(self) -> FleetView:
         return self.group.state.view
 
-    def _receive(self, subscriber: _Subscriber, message: object) -> None:
+    def _receive(self, subscriber: Subscriber, message: object) -> None:
         if not self.group.is_leader or self.registrar is None:
             leader = self.group.replica.leader
             self._send(subscriber, Redirect(leader=leader))
@@ -218,7 +183,7 @@
                 grant = self._grant(message.sequence, message.host, message.wanted)
                 self._send(subscriber, grant)
 
-    def _take_beat(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
+    def _take_beat(self, subscriber: Subscriber, beat: EntryBeat) -> None:
         now = self._clock()
         self._hosts[HostId(beat.host)] = _Host(beat=beat, heard_at=now)
         self._authority.hear(now, HostId(beat.host))
@@ -236,7 +201,7 @@
             self._send_hosts(subscriber)
         self.rounds.await_round(partial(self._answer, subscriber, beat))
 
-    def _answer(self, subscriber: _Subscriber, beat: EntryBeat) -> None:
+    def _answer(self, subscriber: Subscriber, beat: EntryBeat) -> None:
         grant = self._grant(beat.sequence, beat.host, beat.wanted)
         answer = EntryAnswer(
             sequence=beat.sequence,
@@ -287,19 +252,22 @@
         for subscriber in list(self._subscribers):
             self._send_hosts(subscriber)
 
-    def _send_hosts(self, subscriber: _Subscriber) -> None:
+    def _send_hosts(self, subscriber: Subscriber) -> None:
         subscriber.hosts_sent = True
         term = self.group.replica.term
         self._send(subscriber, HostsPush(term=term, rows=self._listed))
 
     # Views.
 
-    def _catch_up(self, subscriber: _Subscriber, revision: int) -> None:
+    def _catch_up(self, subscriber: Subscriber, revision: int) -> None:
         view = self._view
         missing = [item for item in self._deltas if item.base >= revision]
         is_known = bool(missing) and missing[0].base == revision
         if revision < 0 or (revision != view.revision and not is_known):
-            self._send_view(subscriber, view)
+            data = view.pack()
+            self._send_view(
+                subscriber, view.revision, data, part=StatePush, size=VIEW_PART
+            )
         elif revision != view.revision:
             for delta in missing:
                 self._send(subscriber, delta)
@@ -307,32 +275,6 @@
         for status in _join_status(self.registrar.list_status(self._clock())):
             self._send(subscriber, status)
 
-    def _send_view(self, subscriber: _Subscriber, view: FleetView) -> None:
-        data = view.pack()
-        for start in range(0, len(data), VIEW_PART):
-            part = StatePush(
-                revision=view.revision,
-                last=start + VIEW_PART >= len(data),
-                data=data[start : start + VIEW_PART],
-            )
-            self._send(subscriber, part)
-
-    def _send(self, subscriber: _Subscriber, message: object) -> None:
-        self._send_encoded(subscriber, messages.encode(message))
-
-    def _send_encoded(self, subscriber: _Subscriber, body: bytes) -> None:
-        stream = subscriber.stream
-        if stream.closed:
-            return
-        if stream.unsent > MAX_UNSENT:
-            logger.warning("Closed the stream to {}: it is too slow.", stream.peer)
-            stream.close()
-            return
-        try:
-            stream.send_encoded(body)
-        except StreamClosed:
-            logger.debug("Stream to {} is closed.", stream.peer)
-
 
 def _join_status(notices: list[object]) -> list[object]:
     """Returns notices with all `KeyStatus` in one message."""
--- a/src/monsoonlug/quota.py
+++ b/src/monsoonlug/quota.py
@@ -33,6 +33,7 @@
 
 from monsoonlug.exceptions import DamagedFrame
 from monsoonlug.ids import HostId, Term, WorkspaceId
+from monsoonlug.limits import Limit
 
 MAX_DRIFT = 1.01  # ratio of the speeds of two clocks
 TOKEN_LIFETIME = 0.400  # seconds after the send time, on the host's clock
@@ -47,19 +48,6 @@
 EPSILON = 1e-9  # tokens; float error of a level
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Limit:
-    """Limits of one workspace.
-
-    Attributes:
-        rate: Requests per second.
-        burst: Requests that may come at once.
-    """
-
-    rate: float
-    burst: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Holding:
     """What a host says about its tokens of one workspace.
--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -13,6 +13,7 @@
 
 from monsoonlug.ids import HostId, WorkspaceId
 from monsoonlug.items import ItemKind, ItemTable
+from monsoonlug.limits import Limit
 
 # The shares and levels below come from the model in tests/test_rates.py: with them, 9
 # or 79 hosts, some of them cut off, and a change of the leader stay within the bound.
@@ -38,25 +39,12 @@
 LEAST_PAUSE = 0.050  # seconds
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RateLimit:
-    """Limit of one workspace.
-
-    Attributes:
-        rate: Requests per second.
-        burst: Requests that may come at once.
-    """
-
-    rate: float
-    burst: int
-
-
-def list_limits(items: ItemTable) -> dict[WorkspaceId, RateLimit]:
+def list_limits(items: ItemTable) -> dict[WorkspaceId, Limit]:
     """Returns the limits of all workspaces that have one."""
     limits = {}
     for item in items.iterate(ItemKind.WORKSPACE):
         if item.rate > 0:
-            limits[item.name] = RateLimit(rate=item.rate, burst=item.burst)
+            limits[item.name] = Limit(rate=item.rate, burst=item.burst)
     return limits
 
 
@@ -76,7 +64,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Bucket:
-    limit: RateLimit
+    limit: Limit
     level: float
     filled_at: float
     spare: float = 0.0
@@ -108,7 +96,7 @@
         for bucket in self._buckets.values():
             bucket.reserved.pop(host, None)
 
-    def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
+    def configure(self, now: float, limits: dict[WorkspaceId, Limit]) -> None:
         """Puts limits in force."""
         for workspace in set(self._buckets) - set(limits):
             del self._buckets[workspace]
@@ -229,7 +217,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Purse:
-    limit: RateLimit
+    limit: Limit
     filled_at: float
     tokens: float = 0.0
     share: float = NO_SHARE
@@ -259,7 +247,7 @@
         self._answered_at = now
         self._unanswered_since = math.inf
 
-    def configure(self, now: float, limits: dict[WorkspaceId, RateLimit]) -> None:
+    def configure(self, now: float, limits: dict[WorkspaceId, Limit]) -> None:
         """Puts limits in force."""
         for workspace in set(self._purses) - set(limits):
             del self._purses[workspace]
--- a/src/monsoonlug/rounds.py
+++ b/src/monsoonlug/rounds.py
@@ -1,5 +1,6 @@
 """Answers that wait until a majority has confirmed that this replica leads."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -35,11 +36,35 @@
         self._find_group = find_group
         self._waiting: list[Callable[[], None]] = []
         self._rounds: dict[int, _Round] = {}
+        self._readers: set[asyncio.Future] = set()
 
     def reset(self) -> None:
         """Drops everything that waits, as the role changed."""
         self._waiting = []
         self._rounds = {}
+        for reader in self._readers:
+            if not reader.done():
+                reader.set_exception(NotLeader())
+
+    async def wait(self, timeout: float) -> None:
+        """Waits until a majority has confirmed that this replica leads.
+
+        Args:
+            timeout: Seconds.
+
+        Raises:
+            NotLeader: If it does not lead, or if that is not confirmed in time.
+        """
+        if not self._find_group().is_leader:
+            raise NotLeader()
+        reader = asyncio.get_running_loop().create_future()
+        self._readers.add(reader)
+        reader.add_done_callback(self._readers.discard)
+        self.await_round(partial(_finish, reader))
+        try:
+            await asyncio.wait_for(reader, timeout)
+        except TimeoutError:
+            raise NotLeader() from None
 
     def await_round(self, answer: Callable[[], None]) -> None:
         """Calls `answer` once a round that begins after now is confirmed."""
@@ -72,3 +97,8 @@
 
     def _note_round(self, begun: _Round, round_id: int) -> None:
         self._rounds[round_id] = begun
+
+
+def _finish(reader: asyncio.Future) -> None:
+    if not reader.done():
+        reader.set_result(None)
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -16,8 +16,10 @@
     ServerCold,
     StatePush,
 )
-from monsoonlug.publisher import GRANT_AGE, READY_DELAY, Publisher, _Subscriber
-from monsoonlug.rates import RateAuthority, RateLimit
+from monsoonlug.limits import Limit
+from monsoonlug.publisher import GRANT_AGE, READY_DELAY, Publisher
+from monsoonlug.rates import RateAuthority
+from monsoonlug.subscribers import Subscriber
 
 
 class FakeStream:
@@ -40,7 +42,7 @@
     publisher.group = SimpleNamespace(is_leader=True, replica=replica)
     publisher.registrar = object()
     publisher._authority = RateAuthority(now=0.0)
-    limits = {"tenant": RateLimit(rate=100, burst=100)}
+    limits = {"tenant": Limit(rate=100, burst=100)}
     publisher._authority.configure(0.0, limits)
     leader = SimpleNamespace(now=10.0, publisher=publisher)
     return leader
@@ -65,7 +67,7 @@
     What takes service away, and cold servers, must be told at once.
     """
     stream = FakeStream()
-    leader.publisher._subscribers.add(_Subscriber(stream=stream))
+    leader.publisher._subscribers.add(Subscriber(stream=stream))
     notices = []
     leader.publisher.registrar = SimpleNamespace(take_notices=lambda: notices)
     for start in range(10):
@@ -93,7 +95,7 @@
     publisher.registrar = SimpleNamespace(list_status=lambda now: [])
     publisher.rounds = SimpleNamespace(await_round=lambda answer: None)
     stream = FakeStream()
-    subscriber = _Subscriber(stream=stream)
+    subscriber = Subscriber(stream=stream)
     for number in range(5):
         beat = EntryBeat(
             sequence=number,
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from monsoonlug.limits import Limit
 from monsoonlug.rates import (
     ANSWER_TIMEOUT,
     RateAuthority,
-    RateLimit,
     RateWallet,
 )
 
@@ -21,7 +21,7 @@
     """
 
     def __init__(self, *, rate, burst, hosts=12, delay=0.004, seed=1):
-        self.limits = {"tenant": RateLimit(rate=rate, burst=burst)}
+        self.limits = {"tenant": Limit(rate=rate, burst=burst)}
         self.now = 0.0
         self.authority = RateAuthority(now=0.0)
         self.authority.configure(0.0, self.limits)
