Run a request at one place for both kinds of gate, and share what hosts repeat

Cause: GateHost and GateRunner built the same request and passed its answer on alike; closing times of servers were worked out twice for each view, once for the finder and once for the gates; NeighbourLinks took a view only for addresses, so the fleet's entry wrapped its hosts in a class of its own; two streams to control built their callbacks by hand; the soak listed its processes twice and the adapter checked two rates alike.

Change: Job.run sends a request and passes the answer on; the entry keeps one ClosingTimes; NeighbourLinks takes addresses; callbacks are partials; a leaving server's record is a copy with one field changed.

--- a/soak/run.py
+++ b/soak/run.py
@@ -94,13 +94,7 @@
         return f"{fault.kind.value} {self._find(fault).name}"
 
     def _find(self, fault: Fault) -> Daemon:
-        fleet = self._fleet
-        groups = {
-            Role.CONTROL: fleet.controls,
-            Role.ENTRY: fleet.entries,
-            Role.SERVER: fleet.servers,
-        }
-        return list(groups[fault.role].values())[fault.target]
+        return _list_processes(self._fleet)[fault.role][fault.target]
 
     def _list_links(self, fault: Fault) -> list[str]:
         name = self._find(fault).name
@@ -151,7 +145,9 @@
     faults: list[Fault] = []
     try:
         with run_fleet(folder) as fleet:
-            faults = plan_faults(seed, seconds, _count_processes(fleet))
+            groups = _list_processes(fleet)
+            sizes = {role: len(daemons) for role, daemons in groups.items()}
+            faults = plan_faults(seed, seconds, sizes)
             _play(fleet, seed, faults, seconds, samples)
     except AssertionError as error:
         broken.append(f"{type(error).__name__}: {error}")
@@ -169,11 +165,11 @@
     )
 
 
-def _count_processes(fleet: ProxiedFleet) -> dict[Role, int]:
+def _list_processes(fleet: ProxiedFleet) -> dict[Role, list[Daemon]]:
     return {
-        Role.CONTROL: len(fleet.controls),
-        Role.ENTRY: len(fleet.entries),
-        Role.SERVER: len(fleet.servers),
+        Role.CONTROL: list(fleet.controls.values()),
+        Role.ENTRY: list(fleet.entries.values()),
+        Role.SERVER: list(fleet.servers.values()),
     }
 
 
--- a/src/monsoonlug/entry.py
+++ b/src/monsoonlug/entry.py
@@ -230,7 +230,9 @@
     def _take_view(self, view: View) -> None:
         self._front.update(view)
         self._finder.update(view)
-        self._neighbours.update(view)
+        self._neighbours.update(
+            {host: record.stream for host, record in view.hosts.items()}
+        )
         self._keeper.update(view)
         self._records.update(view)
         self._record_keeper.update(view)
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -17,7 +17,7 @@
 from monsoonlug.fleet import FleetView, ViewPart
 from monsoonlug.fleet_messages import Ping, Pong, ServerPut
 from monsoonlug.fleet_targets import FleetFinder
-from monsoonlug.gatehost import GateHost, LiveHost, list_gates
+from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.ingress import CallerProtocol, Ingress
 from monsoonlug.instruments import Instruments
@@ -68,13 +68,6 @@
     metrics: str | None = None
 
 
-class _Hosts:
-    """The live hosts in the form that `NeighbourLinks` takes."""
-
-    def __init__(self, *, hosts: dict[HostId, LiveHost]):
-        self.hosts = hosts
-
-
 class FleetEntryService(DaemonService):
     """Runs one entry.
 
@@ -121,8 +114,10 @@
             on_tokens=lambda: self._ingress.settle_tokens(),
             collect=self._collect,
         )
+        self._closings = ClosingTimes()
         self._gates = GateHost(
             clock=read_clock,
+            closings=self._closings,
             open_backend=self._open_backend,
         )
         self._watch = PeerWatch(
@@ -135,6 +130,7 @@
             failure_domain=settings.failure_domain,
             is_reachable=self._is_reachable,
             blocks=self._subscription.blocks,
+            closings=self._closings,
         )
         tools = DeliveryTools(
             finder=self._finder,
@@ -288,6 +284,7 @@
             self._ingress.update(view)
         if changed != {ViewPart.KEYS}:
             gates = list_gates(view)
+            self._closings.update(read_clock(), view)
             self._finder.update_fleet(view, gates)
             self._gates.update(view, gates)
         self._finder.wake_waiting()
@@ -311,7 +308,9 @@
             if now - since > LINGER_TIME:
                 del self._left[host]
                 del self._known[host]
-        self._neighbours.update(_Hosts(hosts=self._known))
+        self._neighbours.update(
+            {host: item.stream for host, item in self._known.items()}
+        )
 
     def _collect(self) -> tuple[list, list]:
         return self._ingress.take_loads(), self._gates.measure()
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -69,6 +69,7 @@
         failure_domain: Failure domain of this host.
         is_reachable: Whether a stream to a host is open and answers.
         blocks: Keys that are between two owners.
+        closings: When servers out of service are closed; its owner updates it.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         failure_domain: FailureDomain,
         is_reachable: Callable[[HostId], bool],
         blocks: KeyBlocks,
+        closings: ClosingTimes,
     ):
         super().__init__(clock=clock, random=random)
         self.patience = PATIENCE
@@ -88,7 +90,7 @@
         self._is_reachable = is_reachable
         self._blocks = blocks
         self._fleet = FleetView()
-        self._closings = ClosingTimes()
+        self._closings = closings
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
         self._ranks: dict[str, list[HostId]] = {}
@@ -97,7 +99,6 @@
     def update_fleet(self, view: FleetView, gates: Iterable[GateId]) -> None:
         """Takes a view with changed items or servers, and its gates."""
         self._fleet = view
-        self._closings.update(self._clock(), view)
         self._pool_gates = {}
         for gate in gates:
             if gate.pool not in view.tables:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from monsoonlug.backend import BackendProtocol, BackendRequest
+from monsoonlug.backend import BackendProtocol
 from monsoonlug.exceptions import (
     BackendFenced,
     BackendRefused,
@@ -26,13 +26,12 @@
     ProcessGone,
     StreamClosed,
 )
-from monsoonlug.exchanges import PART_SIZE, Peer
+from monsoonlug.exchanges import Peer
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import ServerPut
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import (
-    Epoch,
     FailureDomain,
     HostId,
     PoolId,
@@ -167,12 +166,14 @@
     Args:
         clock: Steady clock, in seconds.
         open_backend: Returns the protocol to a server.
+        closings: When servers out of service are closed; its owner updates it.
     """
 
     def __init__(
         self,
         *,
         clock: Callable[[], float],
+        closings: ClosingTimes,
         open_backend: Callable[[ServerPut, PoolItem], BackendProtocol],
     ):
         self._clock = clock
@@ -183,7 +184,7 @@
         self._models: dict[PoolId, WorkModel] = {}
         self._backends: dict[ServerId, tuple[ServerPut, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
-        self._closings = ClosingTimes()
+        self._closings = closings
         self._jobs = JobTable(open_job=self._open, cancel_job=self._cancel)
         self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -202,7 +203,6 @@
     def update(self, view: FleetView, gates: dict[GateId, list[ServerPut]]) -> None:
         """Takes a view with changed items or servers, and its gates."""
         self._view = view
-        self._closings.update(self._clock(), view)
         self._gates = {gate.name: (gate, servers) for gate, servers in gates.items()}
         for name in list(self._queues):
             self._fit_queue(name)
@@ -392,37 +392,14 @@
 
     async def _exchange(self, queue: ServerQueue, job: Job, server: ServerId) -> None:
         head = job.head
-        backend = self._get_backend(server)
-        is_keyed = head.slice != POOLED
-        message = BackendRequest(
-            request=RequestId(head.request),
-            workspace=head.workspace or None,
-            method=head.method,
-            target=head.target,
-            headers=[(name, value) for name, value in head.headers],
-            slice=Slice(head.slice) if is_keyed else None,
-            slice_epoch=Epoch(head.slice_epoch),
-            gate_epoch=Epoch(head.gate_epoch),
-            idempotency_key=head.idempotency_key,
-            deadline=job.deadline,
-            idempotent=head.idempotent,
-        )
-        body = job.iterate_body() if head.has_body else None
-        answer = await backend.send(message, body)
-        try:
-            body = answer.read_whole(PART_SIZE)
-            now = self._clock()
+
+        def find_wait() -> float:
             rank = RequestClass(head.request_class)
-            wait = 0.0 if is_keyed else queue.predict(now, head.route, rank)
-            job.send_head(answer.status, answer.headers, body, wait=wait)
-            if body is not None:
-                return
-            async for part in answer.iterate():
-                await job.send_part(part)
-            await job.send_part(b"", last=True)
-        except BaseException:
-            answer.cancel()
-            raise
+            return queue.predict(self._clock(), head.route, rank)
+
+        is_pooled = head.slice == POOLED
+        backend = self._get_backend(server)
+        await job.run(backend, find_wait=find_wait if is_pooled else None)
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
         held = self._backends.get(server)
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -4,9 +4,10 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+from monsoonlug.backend import BackendProtocol, BackendRequest
 from monsoonlug.exceptions import DamagedFrame, MonsoonlugError, StreamClosed
 from monsoonlug.exchanges import PART_SIZE, WINDOW, CreditWindow, Peer
-from monsoonlug.ids import SLICE_COUNT
+from monsoonlug.ids import SLICE_COUNT, Epoch, RequestId, Slice
 from monsoonlug.messages import (
     Cancel,
     Credit,
@@ -135,6 +136,51 @@
             self.peer.send(message)
             self._sent += len(piece)
 
+    async def run(
+        self,
+        backend: BackendProtocol,
+        *,
+        find_wait: Callable[[], float] | None = None,
+    ) -> None:
+        """Sends the request to its server and passes the answer on.
+
+        Args:
+            backend: Protocol to the server.
+            find_wait: Returns the seconds until a new request would be answered, when
+                the answer's head has come; None if callers are not told.
+
+        Raises:
+            MonsoonlugError: If there is no answer, or if it is cut off.
+        """
+        head = self.head
+        message = BackendRequest(
+            request=RequestId(head.request),
+            workspace=head.workspace or None,
+            method=head.method,
+            target=head.target,
+            headers=[(name, value) for name, value in head.headers],
+            slice=Slice(head.slice) if head.slice != POOLED else None,
+            slice_epoch=Epoch(head.slice_epoch),
+            gate_epoch=Epoch(head.gate_epoch),
+            idempotency_key=head.idempotency_key,
+            deadline=self.deadline,
+            idempotent=head.idempotent,
+        )
+        body = self.iterate_body() if head.has_body else None
+        answer = await backend.send(message, body)
+        try:
+            body = answer.read_whole(PART_SIZE)
+            wait = find_wait() if find_wait is not None else 0.0
+            self.send_head(answer.status, answer.headers, body, wait=wait)
+            if body is not None:
+                return
+            async for part in answer.iterate():
+                await self.send_part(part)
+            await self.send_part(b"", last=True)
+        except BaseException:
+            answer.cancel()
+            raise
+
     def fail(self, error: MonsoonlugError) -> None:
         """Ends the request without a whole answer."""
         self.close()
--- a/src/monsoonlug/neighbours.py
+++ b/src/monsoonlug/neighbours.py
@@ -1,17 +1,15 @@
 """Streams to the other entry hosts, which forward requests to each other's gates."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from random import Random
 
-from monsoonlug.deltas import HostRecord
 from monsoonlug.exceptions import StreamClosed
 from monsoonlug.exchanges import Peer
 from monsoonlug.ids import HostId
 from monsoonlug.links import MAX_UNSENT, Link
 from monsoonlug.streams import MessageStream
-from monsoonlug.view import View
 
 
 class StreamPeer(Peer):
@@ -78,15 +76,14 @@
         self._links: dict[HostId, Link] = {}
         self._tasks: dict[HostId, asyncio.Task] = {}
 
-    def update(self, view: View) -> None:
-        """Takes a new revision of the view."""
+    def update(self, addresses: Mapping[HostId, str]) -> None:
+        """Takes the stream addresses of all hosts; this one is passed over."""
         for host, link in list(self._links.items()):
-            record = view.hosts.get(host)
-            if record is None or record.stream != link.address:
+            if addresses.get(host) != link.address:
                 self._remove(host)
-        for host, record in view.hosts.items():
+        for host, address in addresses.items():
             if host != self._host and host not in self._links:
-                self._add(record)
+                self._add(host, address)
 
     def send(self, host: HostId, message: object) -> bool:
         """Sends a message to a host; returns False if it cannot be reached."""
@@ -98,10 +95,9 @@
         for host in list(self._links):
             self._remove(host)
 
-    def _add(self, record: HostRecord) -> None:
-        host = record.host
+    def _add(self, host: HostId, address: str) -> None:
         link = Link(
-            address=record.stream,
+            address=address,
             role=self._role,
             sender=self._host,
             on_message=partial(self._on_message, host),
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -203,18 +203,22 @@
     return split
 
 
+def _read_rate(spec: dict, name: str) -> float:
+    rate = spec.get(name, 0)
+    if not isinstance(rate, int | float) or isinstance(rate, bool) or rate < 0:
+        raise BadRequest(f"the field {name} is not a rate")
+    return float(rate)
+
+
 def _read_pool(name: str, version: int, spec: dict) -> PoolItem:
     keyed = read_field(spec, "sharded", bool) if "sharded" in spec else False
-    rate = spec.get("warmupPerS", 0)
-    if not isinstance(rate, int | float) or isinstance(rate, bool) or rate < 0:
-        raise BadRequest("the field warmupPerS is not a rate")
     return PoolItem(
         name=PoolId(name),
         version=version,
         keyed=keyed,
         connections=read_count(spec, "maxConnections", least=1),
         cold_seconds=read_seconds(spec, "warmup") if "warmup" in spec else 0.0,
-        cold_rate=float(rate),
+        cold_rate=_read_rate(spec, "warmupPerS"),
     )
 
 
@@ -222,15 +226,12 @@
     keys = read_field(spec, "apiKeys", list)
     if not all(isinstance(key, str) and key for key in keys):
         raise BadRequest("the keys of a tenant are not texts")
-    rate = spec.get("ratePerS", 0)
-    if not isinstance(rate, int | float) or isinstance(rate, bool) or rate < 0:
-        raise BadRequest("the field ratePerS is not a rate")
     return WorkspaceItem(
         name=WorkspaceId(name),
         version=version,
         key_digests=[digest_key(key) for key in keys],
         priority=read_count(spec, "priority") if "priority" in spec else -1,
-        rate=float(rate),
+        rate=_read_rate(spec, "ratePerS"),
         burst=read_count(spec, "burst") if "burst" in spec else 0,
     )
 
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from monsoonlug import messages
 from monsoonlug.balancing import (
@@ -163,15 +163,7 @@
             live.has_left = True
         if record.draining:
             return []
-        wanted = ServerPut(
-            server=record.server,
-            born=record.born,
-            pool=record.pool,
-            address=record.address,
-            failure_domain=record.failure_domain,
-            slots=record.slots,
-            draining=True,
-        )
+        wanted = replace(record, draining=True)
         return [PutServer(record=messages.encode(wanted))]
 
     def answer(self, now: float, server: ServerId, born: int) -> HoldAnswer | None:
--- a/src/monsoonlug/runner.py
+++ b/src/monsoonlug/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from monsoonlug.backend import BackendProtocol, BackendRequest
+from monsoonlug.backend import BackendProtocol
 from monsoonlug.catalogue import Pool
 from monsoonlug.deltas import GateRecord, ServerRecord
 from monsoonlug.exceptions import (
@@ -14,7 +14,6 @@
     ProcessGone,
     StreamClosed,
 )
-from monsoonlug.exchanges import PART_SIZE
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Gate, Outcome
 from monsoonlug.ids import (
@@ -241,7 +240,7 @@
         started = self._clock()
         outcome = Outcome.LOST
         try:
-            await self._exchange(job)
+            await job.run(self.backend)
             outcome = Outcome.ANSWERED
         except BackendRefused as error:
             outcome = Outcome.SHED
@@ -259,35 +258,6 @@
         finally:
             self._end(request, outcome, started)
 
-    async def _exchange(self, job: Job) -> None:
-        head = job.head
-        is_keyed = head.slice != POOLED
-        message = BackendRequest(
-            request=RequestId(head.request),
-            workspace=head.workspace or None,
-            method=head.method,
-            target=head.target,
-            headers=[(name, value) for name, value in head.headers],
-            slice=Slice(head.slice) if is_keyed else None,
-            slice_epoch=Epoch(head.slice_epoch),
-            gate_epoch=Epoch(head.gate_epoch),
-            idempotency_key=head.idempotency_key,
-            deadline=job.deadline,
-        )
-        body = job.iterate_body() if head.has_body else None
-        answer = await self.backend.send(message, body)
-        try:
-            body = answer.read_whole(PART_SIZE)
-            job.send_head(answer.status, answer.headers, body)
-            if body is not None:
-                return
-            async for part in answer.iterate():
-                await job.send_part(part)
-            await job.send_part(b"", last=True)
-        except BaseException:
-            answer.cancel()
-            raise
-
     def _end(self, request: QueuedRequest, outcome: Outcome, started: float) -> None:
         now = self._clock()
         job: Job = request.payload
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 from monsoonlug.exceptions import DamagedFrame, GapError, StaleRevision
@@ -212,9 +213,9 @@
                 address=address,
                 role=ROLE,
                 sender=self._identity.host,
-                on_message=self._build_receiver(address),
+                on_message=partial(self._receive, address),
                 random=self._random,
-                on_close=self._build_closer(address),
+                on_close=partial(self._close, address),
             )
             self._links[address] = link
             self._tasks[address] = asyncio.create_task(link.run())
@@ -253,21 +254,12 @@
             if self._leader in ("", address):
                 link.send(beat)
 
-    def _build_receiver(self, address: str) -> Callable[[object], None]:
-        def receive(message: object) -> None:
-            self._receive(address, message)
-
-        return receive
-
-    def _build_closer(self, address: str) -> Callable[[], None]:
-        def close() -> None:
-            self._parts.pop(address, None)
-            if self._leader == address:
-                logger.warning("Lost the stream to control leader {}.", address)
-                self._leader = ""
-                self._wake.set()
-
-        return close
+    def _close(self, address: str) -> None:
+        self._parts.pop(address, None)
+        if self._leader == address:
+            logger.warning("Lost the stream to control leader {}.", address)
+            self._leader = ""
+            self._wake.set()
 
     def _receive(self, address: str, message: object) -> None:
         match message:
--- a/src/monsoonlug/uplink.py
+++ b/src/monsoonlug/uplink.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from monsoonlug.deltas import Delta
@@ -86,9 +87,9 @@
                 address=member.stream,
                 role=ROLE,
                 sender=settings.host,
-                on_message=self._build_receiver(member.replica),
+                on_message=partial(self._receive, member.replica),
                 random=random,
-                on_close=self._build_closer(member.replica),
+                on_close=partial(self._close, member.replica),
             )
 
     def list_tasks(self) -> list:
@@ -161,20 +162,11 @@
             if self._leader in ("", replica):
                 link.send(heartbeat)
 
-    def _build_receiver(self, replica: str) -> Callable[[object], None]:
-        def receive(message: object) -> None:
-            self._receive(replica, message)
-
-        return receive
-
-    def _build_closer(self, replica: str) -> Callable[[], None]:
-        def close() -> None:
-            self._parts.pop(replica, None)
-            if self._leader == replica:
-                self._leader = ""
-                self._wake.set()
-
-        return close
+    def _close(self, replica: str) -> None:
+        self._parts.pop(replica, None)
+        if self._leader == replica:
+            self._leader = ""
+            self._wake.set()
 
     def _receive(self, replica: str, message: object) -> None:
         match message:
