Halt a control replica whose data folder fails, and reopen it

Cause: a failed sync escaped through the stream handler and the service framework (traceback, exit code 4 two seconds later) and, restarted on a disk that was still full, the process ended again. Change: the group halts the replica at once with one log line: it neither leads, votes nor acknowledges, and refers entries and callers to the leader it last saw.

--- a/src/monsoonlug/consensus.py
+++ b/src/monsoonlug/consensus.py
@@ -2,7 +2,8 @@
 
 A `Replica` does no I/O except through its storage: calls return the actions that the
 caller must take, in order. Times are float seconds of a monotonic clock. An error from
-the storage is fatal: the process must stop without taking any further action.
+the storage is fatal: the replica must not be used again. A new one may start from the
+reopened storage, as after a restart of the process.
 """
 
 import math
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -281,7 +281,7 @@
 
 
 class SyncFailed(MonsoonlugError):
-    """The data folder could not be written; the process must stop."""
+    """The data folder could not be written; its replica must not be used again."""
 
     code = "sync-failed"
 
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from monsoonlug import messages
-from monsoonlug.actions import ReadIndexConfirmed, Role, RoleChanged
+from monsoonlug.actions import ReadIndexConfirmed, RoleChanged
 from monsoonlug.clocks import read_clock
 from monsoonlug.consensus import Replica
 from monsoonlug.consensus_timing import ConsensusTiming
@@ -145,28 +145,17 @@
         self._seeds = settings.seeds
         self._reported_members: tuple[str, ...] = ()
         self._contacts: tuple[ReplicaId, ...] = ()
+        self._random = Random()
         self.metrics = PrometheusMetrics()
 
     async def on_start(self) -> None:
         """Opens the data folder and starts listening."""
         settings = self._settings
-        random = Random()
-        self._storage = FileStorage(folder=settings.data_folder, detect_copies=False)
-        own = ReplicaId(settings.stream)
-        initial_members = [ReplicaId(seed) for seed in settings.seeds]
-        self._contacts = tuple(initial_members)
-        self._replica = Replica(
-            replica_id=own,
-            members=initial_members,
-            storage=self._storage,
-            random=random,
-            now=read_clock(),
-            times=FLEET_TIMING,
-            can_bootstrap=settings.may_bootstrap and own in initial_members,
-        )
+        self._contacts = tuple(ReplicaId(seed) for seed in settings.seeds)
+        self._open_replica()
         self._links = PeerLinks(
             own=settings.stream,
-            random=random,
+            random=self._random,
             spawn=self._create_task,
             on_message=self._receive_from_peer,
         )
@@ -184,11 +173,9 @@
             on_round=self._handle_round,
             on_members=self._handle_members,
             state_type=FleetState,
+            reopen=self._reopen_replica,
         )
         self._publisher.group = self._group
-        self._membership_manager = MembershipManager(
-            replica=self._replica, is_responsive=self._is_responsive
-        )
         self._listener = Listener(
             address=settings.stream,
             role=ROLE,
@@ -222,7 +209,7 @@
     @property
     def leader(self) -> str:
         """Stream address of the leader, or an empty string if it is unknown."""
-        return self._replica.leader
+        return self._group.leader
 
     @property
     def publisher(self) -> Publisher:
@@ -342,9 +329,44 @@
             return
         await self._publisher.read_index_queue.wait(READ_TIMEOUT)
 
+    def _open_replica(self) -> None:
+        settings = self._settings
+        self._storage = FileStorage(folder=settings.data_folder, detect_copies=False)
+        own = ReplicaId(settings.stream)
+        initial_members = [ReplicaId(seed) for seed in settings.seeds]
+        self._replica = Replica(
+            replica_id=own,
+            members=initial_members,
+            storage=self._storage,
+            random=self._random,
+            now=read_clock(),
+            times=FLEET_TIMING,
+            can_bootstrap=settings.may_bootstrap and own in initial_members,
+        )
+        self._replica.set_contacts(self._contacts)
+        self._membership_manager = MembershipManager(
+            replica=self._replica, is_responsive=self._is_responsive
+        )
+
+    def _reopen_replica(self) -> Replica:
+        """Opens the data folder again after it failed, and returns its replica.
+
+        Raises:
+            SyncFailed: If it cannot be written.
+        """
+        self._storage.close()
+        self._open_replica()
+        self._storage.rewrite_journal()
+        return self._replica
+
     async def _start_metrics(self) -> None:
         add_gauge = self.metrics.add_gauge
         add_gauge("leader", "1 on the leader.", lambda: int(self._group.is_leader))
+        add_gauge(
+            "halted",
+            "1 while the data folder cannot be written.",
+            lambda: int(self._group.is_halted),
+        )
         add_gauge("term", "Term of the group.", lambda: self._replica.term)
         add_gauge("revision", "Revision.", lambda: self._group.state.view.revision)
         add_gauge("entries", "Connected entries.", lambda: self._publisher.subscribers)
@@ -416,7 +438,7 @@
         while True:
             await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL)
             self._links.retain([*self._contacts, *self._replica.refused_identities])
-            if self._replica.role is not Role.LEADER:
+            if not self._group.is_leader:
                 continue
             try:
                 change = self._membership_manager.choose_change()
--- a/src/monsoonlug/group.py
+++ b/src/monsoonlug/group.py
@@ -21,17 +21,20 @@
 from monsoonlug.exceptions import (
     ControlUnreachable,
     MonsoonlugError,
+    NotLeader,
     SyncFailed,
 )
 from monsoonlug.ids import ReplicaId
 from monsoonlug.links import Link
 from monsoonlug.logs import get_logger
 from monsoonlug.membership import Members
+from monsoonlug.peer_messages import AppendRequest
 from monsoonlug.state import ControlState
 from monsoonlug.state_machine import StateMachine
 
 COMPACTION_THRESHOLD = 1_000  # log entries since the last snapshot
 MAX_TICK_INTERVAL = 0.020  # seconds
+REOPEN_INTERVAL = 0.250  # seconds between attempts to reopen a failed data folder
 
 logger = get_logger("control")
 
@@ -45,6 +48,10 @@
 class ControlGroup:
     """One replica of a group, with its state and its streams to the other replicas.
 
+    A replica whose data folder fails is halted: it neither leads nor votes nor
+    acknowledges anything. If the data folder can be written again later, a new replica
+    starts from it, as after a restart of the process.
+
     Args:
         replica: The replica.
         links: Streams to the other replicas.
@@ -55,6 +62,8 @@
         on_round: Called with each confirmed read-index round.
         on_members: Called after the member list changed.
         state_type: Class of the replicated state.
+        reopen: Opens the data folder again and returns its replica; raises
+            `SyncFailed` if it cannot be written. If None, `run` ends after a failure.
     """
 
     def __init__(
@@ -69,6 +78,7 @@
         on_round: Callable[[ReadIndexConfirmed], None],
         on_members: Callable[[Members], None] | None = None,
         state_type: type[StateMachine] = ControlState,
+        reopen: Callable[[], Replica] | None = None,
     ):
         self.replica = replica
         self.state = state_type()
@@ -82,25 +92,42 @@
         self._on_round = on_round
         self._proposals: dict[int, _Proposal] = {}
         self._compacted_index = 0
+        self._reopen = reopen
         self._failure: SyncFailed | None = None
+        self._reopen_at = 0.0
+        self._last_seen_leader = ReplicaId("")
         self._wake_event = asyncio.Event()
 
     @property
     def is_leader(self) -> bool:
         """Whether this replica believes that it is the leader."""
-        return self.replica.role is Role.LEADER
+        return not self.is_halted and self.replica.role is Role.LEADER
+
+    @property
+    def is_halted(self) -> bool:
+        """Whether the data folder failed and has not been reopened."""
+        return self._failure is not None
+
+    @property
+    def leader(self) -> ReplicaId:
+        """The known leader, or an empty string.
+
+        On a halted replica it is the last one that sent log entries or a heartbeat.
+        """
+        return self._last_seen_leader if self.is_halted else self.replica.leader
 
     async def run(self) -> None:
         """Runs the timers until cancelled.
 
         Raises:
-            SyncFailed: If the storage failed at any time.
+            SyncFailed: If the storage failed and cannot be reopened.
         """
         while True:
-            if self._failure is not None:
-                raise self._failure
-            self._execute(self.replica.tick(self._clock()))
-            pause = self.replica.next_tick_at() - self._clock()
+            self.advance()
+            due_at = self.replica.next_tick_at()
+            if self.is_halted:
+                due_at = self._reopen_at
+            pause = due_at - self._clock()
             self._wake_event.clear()
             try:
                 timeout = max(0.0, min(pause, MAX_TICK_INTERVAL))
@@ -108,13 +135,31 @@
             except TimeoutError:
                 continue
 
+    def advance(self) -> None:
+        """Runs the timers that are due, or tries to reopen a failed data folder.
+
+        Raises:
+            SyncFailed: If the storage failed and cannot be reopened.
+        """
+        if not self.is_halted:
+            with self._halting_on_failure():
+                self._execute(self.replica.tick(self._clock()))
+        elif self._reopen is None:
+            raise self._failure
+        elif self._clock() >= self._reopen_at:
+            self._restart()
+
     def receive(self, sender: str, message: object) -> None:
         """Handles a message of another replica.
 
         Raises:
             DamagedFrame: If the message is malformed.
         """
-        with self._recording_failure():
+        if isinstance(message, AppendRequest):
+            self._last_seen_leader = ReplicaId(sender)
+        if self.is_halted:
+            return
+        with self._halting_on_failure():
             self._execute(
                 self.replica.receive(self._clock(), ReplicaId(sender), message)
             )
@@ -122,15 +167,21 @@
     def propose(self, command: object) -> asyncio.Future:
         """Proposes a command; the future gets its result once it is applied.
 
+        If the storage fails, the future fails with `ControlUnreachable`, as the command
+        may have been stored and may still be committed.
+
         Raises:
             NotLeader: If this replica is not the leader.
         """
+        self._check_running()
         result = asyncio.get_running_loop().create_future()
-        with self._recording_failure():
+        with self._halting_on_failure():
             now = self._clock()
             index, actions = self.replica.propose(now, messages.encode(command))
             self._proposals[index] = _Proposal(term=self.replica.term, result=result)
             self._execute(actions)
+        if self.is_halted and not result.done():
+            result.set_exception(ControlUnreachable())
         return result
 
     def propose_all(self, commands: list) -> None:
@@ -139,7 +190,8 @@
         Raises:
             NotLeader: If this replica is not the leader.
         """
-        with self._recording_failure():
+        self._check_running()
+        with self._halting_on_failure():
             actions: list[Action] = []
             for command in commands:
                 now = self._clock()
@@ -156,7 +208,8 @@
         Raises:
             NotLeader: If this replica is not the leader.
         """
-        with self._recording_failure():
+        self._check_running()
+        with self._halting_on_failure():
             round_id, actions = self.replica.begin_round(self._clock())
             on_begun(round_id)
             self._execute(actions)
@@ -172,18 +225,54 @@
             NotLeader: If this replica is not the leader.
             MembershipRefused: If the change is not possible now.
         """
-        with self._recording_failure():
+        self._check_running()
+        with self._halting_on_failure():
             self._execute(change(self._clock(), *arguments))
 
+    def _check_running(self) -> None:
+        if self.is_halted:
+            raise NotLeader()
+
     @contextmanager
-    def _recording_failure(self) -> Iterator[None]:
-        """Records a failed sync in any call, so that `run` ends the process."""
+    def _halting_on_failure(self) -> Iterator[None]:
+        """Halts the replica if its storage fails within the block."""
         try:
             yield
         except SyncFailed as error:
-            self._failure = error
-            self._wake_event.set()
-            raise
+            self._halt(error)
+
+    def _halt(self, error: SyncFailed) -> None:
+        logger.error(
+            "Stopped taking part in the group in term {} at log index {}, as the data "
+            "folder failed: {}.",
+            self.replica.term,
+            self.replica.commit_index,
+            error,
+        )
+        self._failure = error
+        self._reopen_at = self._clock() + REOPEN_INTERVAL
+        self._wake_event.set()
+        self._change_role(
+            RoleChanged(role=Role.FOLLOWER, term=self.replica.term, leader="")
+        )
+
+    def _restart(self) -> None:
+        """Replaces the replica by one from the reopened data folder."""
+        try:
+            replica = self._reopen()
+        except SyncFailed as error:
+            self._reopen_at = self._clock() + REOPEN_INTERVAL
+            logger.debug("The data folder still fails: {}.", error)
+            return
+        self.replica = replica
+        self._failure = None
+        self.state = self._state_type()
+        self._compacted_index = 0
+        self._on_restored()
+        logger.info(
+            "Reopened the data folder; taking part in the group from log index {} on.",
+            replica.commit_index,
+        )
 
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
--- a/src/monsoonlug/journal.py
+++ b/src/monsoonlug/journal.py
@@ -267,6 +267,21 @@
         except OSError as error:
             self._raise_sync_failed(error)
 
+    def rewrite_journal(self) -> None:
+        """Replaces the journal by a synced copy of its content.
+
+        After a failed sync, records that were read back may exist only in the page
+        cache, and no later sync of the same file writes them.
+
+        Raises:
+            SyncFailed: If the folder cannot be written.
+        """
+        self._check_usable()
+        try:
+            self._replace_journal(self._base_index, self._base_term)
+        except OSError as error:
+            self._raise_sync_failed(error)
+
     def close(self) -> None:
         """Closes and unlocks the folder; records that were not synced are lost."""
         self._is_unusable = True
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -175,8 +175,7 @@
 
     def _receive(self, subscriber: Subscriber, message: object) -> None:
         if not self.group.is_leader or self.registrar is None:
-            leader = self.group.replica.leader
-            self._send(subscriber, Redirect(leader=leader))
+            self._send(subscriber, Redirect(leader=self.group.leader))
             return
         match message:
             case FleetHeartbeat():
