Keep a server out of service that leaves before its first heartbeat arrives

The server had started behind a cut, its leave arrived first and was acknowledged without a record, and its delayed heartbeat registered it 2.3 s later. Each change of a server's record is logged with its start time.

--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -259,7 +260,10 @@
             NotLeader: If this replica is not the leader.
             ControlUnreachable: If the change could not be committed.
         """
-        for command in self._get_registrar().handle_leave(server):
+        commands = self._get_registrar().handle_leave(
+            read_clock(), server, unix_ms=time.time_ns() // 1_000_000
+        )
+        for command in commands:
             await self._commit(command)
         await self.confirm_leadership()
         logger.info("Backend server {} announced its shutdown.", server)
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -37,9 +37,12 @@
 from monsoonlug.ids import Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.items import ItemKind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
+from monsoonlug.logs import get_logger
 from monsoonlug.releases import Release, find_release, subtract_releases
 
 MAX_CLOCK_DRIFT = 1.02  # factor by which a server's clock may run slow
+# Milliseconds by which the times of day of a server and of control may differ.
+MAX_CLOCK_SKEW_MS = 1_000
 LEASE_MARGIN = 0.2  # seconds; covers rounding and delays of a server's timers
 # Seconds after a response, by when the server's lease has expired on its own clock.
 LEASE_TIMEOUT = LEASE_TIME * MAX_CLOCK_DRIFT + LEASE_MARGIN
@@ -53,6 +56,8 @@
 MAX_RELEASING_SHARE = 0.25  # of the servers that may release keys at the same time
 UTILIZATION_WEIGHT = 0.3  # of a new report, in a server's average utilization
 
+logger = get_logger("control")
+
 
 @dataclass(slots=True, kw_only=True)
 class _Process:
@@ -167,15 +172,24 @@
             or _is_leaving(record, heartbeat),
         )
         if updated != record:
+            _log_change(record, updated)
             commands.append(PutServer(record=messages.encode(updated)))
         commands += self._reassign_released(now, heartbeat)
         return commands
 
-    def handle_leave(self, server: ServerId) -> list[FleetCommand]:
-        """Marks a server as shutting down and returns the commands to commit."""
+    def handle_leave(
+        self, now: float, server: ServerId, *, unix_ms: int
+    ) -> list[FleetCommand]:
+        """Marks a server as shutting down and returns the commands to commit.
+
+        Args:
+            now: Time in seconds.
+            server: The server.
+            unix_ms: Time of day in Unix milliseconds.
+        """
         record = self._view.servers.get(server)
         if record is None:
-            return []
+            return [self._record_unknown_leave(now, server, unix_ms)]
         process = self._processes.get(server)
         if process is not None:
             process.has_left = True
@@ -184,6 +198,32 @@
         updated = replace(record, draining=True)
         return [PutServer(record=messages.encode(updated))]
 
+    def _record_unknown_leave(
+        self, now: float, server: ServerId, unix_ms: int
+    ) -> FleetCommand:
+        """Returns the command that keeps an unknown server out of service.
+
+        Its first heartbeat may arrive after its leave. A heartbeat counts as outdated
+        unless its process was started after the leave.
+        """
+        record = FleetServer(
+            server=server,
+            born=unix_ms + MAX_CLOCK_SKEW_MS,
+            pool=PoolId(""),
+            # Unique, as a record replaces another one with the same address.
+            address=server,
+            failure_domain=FailureDomain(""),
+            slots=1,
+            draining=True,
+        )
+        self._processes[server] = _Process(
+            born=record.born,
+            last_heartbeat_at=now,
+            lease_expires_at=now,
+            has_left=True,
+        )
+        return PutServer(record=messages.encode(record))
+
     def renew_lease(self, now: float, server: ServerId, born: int) -> LeaseGrant | None:
         """Grants a server its ranges for the next lease and starts planned releases.
 
@@ -648,6 +688,24 @@
         return key_range
 
 
+def _log_change(record: FleetServer | None, updated: FleetServer) -> None:
+    is_restarted = record is not None and record.born != updated.born
+    logger.info(
+        "Backend server {} of pool {} at {}, started at {} ms, {}.",
+        updated.server,
+        updated.pool,
+        updated.address,
+        updated.born,
+        "is leaving"
+        if updated.draining
+        else "was restarted"
+        if is_restarted
+        else "changed its record"
+        if record is not None
+        else "is registered",
+    )
+
+
 def _is_leaving(record: FleetServer | None, heartbeat: ServerHeartbeat) -> bool:
     """Returns whether a process has said that it is leaving, which is final.
 
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -166,7 +166,7 @@
 
 def test_left_server_loses_its_lease(leader):
     """Guards against a lease renewal after a server has said that it shuts down."""
-    leader.commit(leader.registrar.handle_leave("s1"))
+    leader.commit(leader.registrar.handle_leave(leader.now, "s1", unix_ms=1))
     assert leader.send_heartbeat("s1") == []
     leader.now += LEASE_TIMEOUT + 2.5 * PERIOD
     leader.send_heartbeat("s2")
@@ -183,7 +183,7 @@
     """
     leader.now += 0.5
     leader.send_heartbeat("s2")
-    leader.commit(leader.registrar.handle_leave("s1"))
+    leader.commit(leader.registrar.handle_leave(leader.now, "s1", unix_ms=1))
     for _ in range(6):
         leader.now += 0.5
         leader.send_heartbeat("s2")
@@ -194,9 +194,32 @@
     assert leader.fleet.state.view.servers["s1"].draining
 
 
+@pytest.mark.parametrize("new_leader", [False, True])
+def test_left_server_that_was_never_registered_stays_out(leader, new_leader):
+    """Guards against new work for a server whose first heartbeat arrives after its
+    leave was acknowledged, as when it could reach control only for a moment.
+    """
+    leader.commit(leader.registrar.handle_leave(leader.now, "s7", unix_ms=10_000))
+    leader.commit(leader.registrar.handle_leave(leader.now, "s8", unix_ms=10_000))
+    if new_leader:
+        leader.elect()
+    leader.now += 2.3
+    for server in ("s7", "s8"):
+        assert leader.send_heartbeat(server, born=9_900) is None
+        assert not leader.fleet.state.view.is_in_service(
+            leader.fleet.state.view.servers[server]
+        )
+    leader.send_heartbeat("s7", born=14_000)
+    record = leader.fleet.state.view.servers["s7"]
+    assert leader.fleet.state.view.is_in_service(record)
+    leader.now += REMOVAL_TIMEOUT
+    leader.run_timer()
+    assert "s8" not in leader.fleet.state.view.servers
+
+
 def test_left_server_is_forgotten_in_the_end(leader):
     """Guards against records of servers that never come back."""
-    leader.commit(leader.registrar.handle_leave("s1"))
+    leader.commit(leader.registrar.handle_leave(leader.now, "s1", unix_ms=1))
     leader.now += REMOVAL_TIMEOUT + 1
     leader.send_heartbeat("s2")
     leader.run_timer()
