Assign keys by measured speed and expected lateness

Cause: each host reported factors relative to the few servers whose gates it serves, so a server of 2.0 looked like 1.2 and one of 0.7 like 1.1 beside each other in the leader's table; and the first keys, which are free, ignored speed. Change: gates report slowdown (median of recent reports) and mean service time; idle servers are probed three times before the first keys; ranges are divided so that one more request makes equally many responses late everywhere; cold servers get no moves; a suddenly hot key counts with its recent rate and moves alone; an overloaded source does not wait for a timely target.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -139,6 +139,17 @@
             OutcomeUnknown: If the request may have run.
         """
 
+    @abstractmethod
+    async def probe(self, path: str) -> float | None:
+        """Requests the health path of the server.
+
+        Returns:
+            The slowdown that the server reports, or None if it reports none.
+
+        Raises:
+            MonsoonlugError: If there is no response.
+        """
+
     @abstractmethod
     def cancel(self, request: RequestId) -> bool:
         """Cancels a request; its `send` or `iterate` raises `OutcomeUnknown`.
--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -7,23 +7,35 @@
 import math
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from monsoonlug.ids import SLICE_COUNT, FailureDomain, ServerId
 from monsoonlug.keyranges import KeyRange
+from monsoonlug.lateness import (
+    MAX_UTILIZATION,
+    estimate_marginal_lateness,
+    find_utilization,
+)
 
 RANGES_PER_SERVER = 20  # at first; the answer to a heartbeat is limited to 4 KiB
+MIN_INITIAL_RANGES = 2  # of a slow server, so that its speed continues to be measured
+MAX_INITIAL_RANGES = 52
+GOLDEN_RATIO = 0.618034
 MAX_RANGES_PER_SERVER = 64  # for the same reason
 LOAD_DECAY_TIME = 3.0  # seconds; time constant of the average request rate of a key
+HOT_KEY_DECAY_TIME = 0.8  # seconds; the same for the recent rate of a key
+MIN_HOT_KEY_RATE = 8.0  # requests per second, from which the recent rate counts
+MIN_RECENT_RATE = 0.5  # requests per second, below which it is no longer tracked
+HOT_KEY_SHARE = 0.4  # of a server's rate, from which its busiest key is moved first
 MIN_KEY_RATE = 0.02  # requests per second, below which a key is no longer tracked
-OVERLOAD_THRESHOLD = 0.35  # weighted utilization above which keys are moved away
-LATENCY_FACTOR_EXPONENT = 0.5  # of the latency factor, in the weighted utilization
+INITIAL_UTILIZATION = 0.6  # of the pool, assumed before any load is measured
 
 # A move pauses the service of its keys, which smaller gains are not worth.
-MIN_LOAD_GAP = 0.20  # in weighted utilization, between source and target
+MIN_MARGINAL_GAP = 0.15  # in marginal lateness, between source and target
 MIN_KEY_MOVE_GAIN = 0.15  # of the source's utilization, saved by moving one hot key
-MIN_MOVE_RATIO = 0.25  # of the target rate
 MIN_MOVE_RATE = 0.5  # requests per second
+MAX_MOVES_PER_SOURCE = 8  # ranges that one server releases at a time
+BISECTION_STEPS = 30
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,34 +43,30 @@
     """Load of a backend server that may own keys.
 
     Attributes:
+        slots: Requests that the server runs concurrently.
         utilization: Offered load divided by the capacity of the server's slots.
         cost: Increase of `utilization` per request per second.
         latency_factor: Service time of a request relative to the mean of the pool.
+        is_cold: Whether the server bears only little load yet.
         key_count: Number of keys that the server owns.
         range_count: Number of ranges that the server owns.
     """
 
     server: ServerId
     failure_domain: FailureDomain = FailureDomain("")
+    slots: int = 2
     utilization: float = 0.0
     cost: float = 0.0
     latency_factor: float = 1.0
+    is_cold: bool = False
     key_count: int = 0
     range_count: int = 0
 
-    @property
-    def latency_weight(self) -> float:
-        """Factor by which the latency factor increases the weighted utilization.
-
-        Requests to a slow server are late even without a queue, so a slow server gets
-        less work than would make it as busy as a fast one.
-        """
-        return self.latency_factor**LATENCY_FACTOR_EXPONENT
-
-    @property
-    def weighted_utilization(self) -> float:
-        """Utilization, weighted by the latency factor of the server."""
-        return self.utilization * self.latency_weight
+    def estimate_marginal_lateness(self, rate: float = 0.0) -> float:
+        """Returns the late responses per further request, after adding a rate."""
+        return estimate_marginal_lateness(
+            self.latency_factor, self.utilization + rate * self.cost, self.slots
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,10 +88,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class KeyLoads:
-    """Request rates of the keys of one pool, averaged over `LOAD_DECAY_TIME`."""
+    """Request rates of the keys of one pool.
+
+    A rate is averaged over `LOAD_DECAY_TIME`. A key that suddenly becomes hot counts
+    with its rate over `HOT_KEY_DECAY_TIME`, as moving it is urgent.
+    """
 
     rates: dict[int, float] = field(default_factory=dict)
     updated_at: float = 0.0
+    _recent: dict[int, float] = field(default_factory=dict)
     _sorted: list[int] | None = None
 
     def add(self, key: int, count: int) -> None:
@@ -91,19 +104,23 @@
         if key not in self.rates:
             self._sorted = None
         self.rates[key] = self.rates.get(key, 0.0) + count / LOAD_DECAY_TIME
+        self._recent[key] = self._recent.get(key, 0.0) + count / HOT_KEY_DECAY_TIME
 
     def decay(self, now: float) -> None:
         """Decays all rates to the given time and drops those below `MIN_KEY_RATE`."""
-        factor = math.exp(-max(0.0, now - self.updated_at) / LOAD_DECAY_TIME)
+        elapsed = max(0.0, now - self.updated_at)
         self.updated_at = now
-        remaining = {}
-        for key, rate in self.rates.items():
-            decayed = rate * factor
-            if decayed >= MIN_KEY_RATE:
-                remaining[key] = decayed
-        self.rates = remaining
+        factor = math.exp(-elapsed / HOT_KEY_DECAY_TIME)
+        self._recent = _decay_rates(self._recent, factor, MIN_RECENT_RATE)
+        factor = math.exp(-elapsed / LOAD_DECAY_TIME)
+        self.rates = _decay_rates(self.rates, factor, MIN_KEY_RATE)
         self._sorted = None
 
+    def get_rate(self, key: int) -> float:
+        """Returns the rate of a measured key."""
+        recent = self._recent.get(key, 0.0)
+        return max(self.rates[key], recent if recent >= MIN_HOT_KEY_RATE else 0.0)
+
     def iterate_between(self, start: int, end: int) -> Iterator[tuple[int, float]]:
         """Yields measured keys and their rates, from `start` to `end` included."""
         if self._sorted is None:
@@ -111,7 +128,7 @@
         position = bisect_left(self._sorted, start)
         while position < len(self._sorted) and self._sorted[position] <= end:
             key = self._sorted[position]
-            yield key, self.rates[key]
+            yield key, self.get_rate(key)
             position += 1
 
     def sum_between(self, start: int, end: int) -> float:
@@ -119,31 +136,65 @@
         return sum(rate for _, rate in self.iterate_between(start, end))
 
 
-def plan_initial_ranges(servers: list[ServerId]) -> list[tuple[int, int, ServerId]]:
+def _decay_rates(
+    rates: dict[int, float], factor: float, minimum: float
+) -> dict[int, float]:
+    remaining = {}
+    for key, rate in rates.items():
+        decayed = rate * factor
+        if decayed >= minimum:
+            remaining[key] = decayed
+    return remaining
+
+
+def plan_initial_ranges(
+    servers: Mapping[ServerId, ServerLoad],
+) -> list[tuple[int, int, ServerId]]:
     """Returns start, end and owner of the initial ranges of a pool.
 
-    >>> plan_initial_ranges([ServerId("a"), ServerId("b")])[:2]
+    Fast servers get more ranges, as far as their speeds are known.
+
+    >>> loads = {name: ServerLoad(server=name) for name in map(ServerId, "ab")}
+    >>> plan_initial_ranges(loads)[:2]
     [(0, 1637, 'a'), (1638, 3275, 'b')]
     """
-    count = len(servers) * RANGES_PER_SERVER
+    positions = []
+    for number, (server, count) in enumerate(_count_initial_ranges(servers).items()):
+        for turn in range(count):
+            # An even spread with a varying offset, so that the neighbours of a server
+            # vary.
+            offset = GOLDEN_RATIO * (number + RANGES_PER_SERVER * turn) % 1
+            positions.append(((turn + offset) / count, server))
+    positions.sort()
     ranges = []
-    for number in range(count):
-        start = number * SLICE_COUNT // count
-        end = (number + 1) * SLICE_COUNT // count - 1
-        # Rotates the order in each round, so that the neighbours of a server vary.
-        offset = number // len(servers)
-        owner = servers[(number + offset) % len(servers)]
+    for number, (_, owner) in enumerate(positions):
+        start = number * SLICE_COUNT // len(positions)
+        end = (number + 1) * SLICE_COUNT // len(positions) - 1
         ranges.append((start, end, owner))
     return ranges
 
 
+def _count_initial_ranges(servers: Mapping[ServerId, ServerLoad]) -> dict:
+    units = {}
+    for name, item in servers.items():
+        units[name] = replace(item, cost=item.latency_factor / item.slots)
+    capacity = sum(1 / item.cost for item in units.values())
+    rates = plan_rates(units, INITIAL_UTILIZATION * capacity)
+    counts = {}
+    for name, rate in rates.items():
+        share = rate / sum(rates.values())
+        count = round(share * RANGES_PER_SERVER * len(servers))
+        counts[name] = min(max(count, MIN_INITIAL_RANGES), MAX_INITIAL_RANGES)
+    return counts
+
+
 def choose_target(
     candidates: Mapping[ServerId, ServerLoad],
     rate: float,
     *,
     excluded: Iterable[ServerId] = (),
 ) -> ServerLoad | None:
-    """Returns the server with the lowest weighted utilization after adding a rate.
+    """Returns the server with the lowest marginal lateness after adding a rate.
 
     Returns None if every server is excluded or has `MAX_RANGES_PER_SERVER`.
     """
@@ -154,10 +205,10 @@
             or candidate.range_count >= MAX_RANGES_PER_SERVER
         ):
             continue
-        utilization = candidate.utilization + rate * candidate.cost
         rank = (
-            utilization * candidate.latency_weight,
-            candidate.key_count,
+            candidate.is_cold,
+            candidate.estimate_marginal_lateness(rate),
+            candidate.key_count * candidate.latency_factor,
             candidate.server,
         )
         if best is None or rank < best[0]:
@@ -165,81 +216,142 @@
     return best[1] if best else None
 
 
+def plan_rates(
+    candidates: Mapping[ServerId, ServerLoad], total: float
+) -> dict[ServerId, float]:
+    """Divides a request rate so that the fewest responses are late.
+
+    That is where one more request would cause equally many late responses on all
+    servers. If the servers cannot bear the rate, all get the same utilization.
+
+    Args:
+        candidates: The servers; all have a cost above 0.
+        total: Requests per second.
+    """
+    capacity = sum(MAX_UTILIZATION / item.cost for item in candidates.values())
+    if total >= capacity:
+        scale = total / capacity
+        return {
+            name: scale * MAX_UTILIZATION / item.cost
+            for name, item in candidates.items()
+        }
+    low, high = 0.0, 1.0
+    for _ in range(BISECTION_STEPS):
+        middle = (low + high) / 2
+        if sum(_list_rates(candidates, middle).values()) < total:
+            low = middle
+        else:
+            high = middle
+    rates = _list_rates(candidates, high)
+    planned = sum(rates.values())
+    if planned <= 0:
+        return rates
+    return {name: rate * total / planned for name, rate in rates.items()}
+
+
+def _list_rates(
+    candidates: Mapping[ServerId, ServerLoad], marginal: float
+) -> dict[ServerId, float]:
+    rates = {}
+    for name, item in candidates.items():
+        utilization = find_utilization(item.latency_factor, marginal, item.slots)
+        rates[name] = utilization / item.cost
+    return rates
+
+
 def plan_moves(
     owned: Mapping[ServerId, list[KeyRange]],
     candidates: Mapping[ServerId, ServerLoad],
     loads: KeyLoads,
     *,
     excluded: set[ServerId],
-    max_moves: int,
+    max_sources: int,
 ) -> list[RangeMove]:
-    """Plans which keys to move away from the servers with the highest utilization.
+    """Plans which keys to move away from servers with more than their best share.
 
     Args:
         owned: Ranges of each server.
         candidates: All servers that may own keys.
         loads: Request rates of the keys.
         excluded: Servers from which no keys may be moved now.
-        max_moves: Maximum number of moves to plan.
+        max_sources: Maximum number of servers from which keys are moved.
     """
-    moves: list[RangeMove] = []
-    utilizations = {
-        name: candidate.weighted_utilization for name, candidate in candidates.items()
+    costed = {name: item for name, item in candidates.items() if item.cost > 0}
+    if len(costed) < 2 or max_sources <= 0:
+        return []
+    rates = {name: item.utilization / item.cost for name, item in costed.items()}
+    warm = {name: item for name, item in costed.items() if not item.is_cold}
+    planned = plan_rates(warm or costed, sum(rates.values()))
+    excess = {name: rates[name] - planned.get(name, 0.0) for name in costed}
+    marginals = {
+        name: item.estimate_marginal_lateness() for name, item in costed.items()
     }
-    for source in sorted(utilizations, key=lambda name: -utilizations[name]):
-        if len(moves) >= max_moves or utilizations[source] < OVERLOAD_THRESHOLD:
+    room = {name: -value for name, value in excess.items() if value < 0}
+    moves: list[RangeMove] = []
+    sources = 0
+    for source in sorted(excess, key=lambda name: (-marginals[name], name)):
+        if sources >= max_sources or not room:
             break
-        if source in excluded:
-            continue
-        target = min(utilizations, key=lambda name: (utilizations[name], name))
-        source_load, target_load = candidates[source], candidates[target]
-        gap = utilizations[source] - utilizations[target]
-        costs = (
-            source_load.cost * source_load.latency_weight
-            + target_load.cost * target_load.latency_weight
-        )
-        if gap < MIN_LOAD_GAP or costs <= 0:
+        if source in excluded or source in room:
             continue
+        target = min(room, key=lambda name: (marginals[name], name))
+        if marginals[source] - marginals[target] < MIN_MARGINAL_GAP:
+            break
+        wanted = min(excess[source], sum(room.values()))
         key_ranges = owned.get(source, [])
-        move = _find_range_part(key_ranges, loads, gap / costs, source)
-        if move is None:
-            move = _find_hot_key(key_ranges, loads, source_load, candidates)
-        if move is None:
+        hot_key = _find_hot_key(key_ranges, loads, costed[source], costed)
+        if hot_key is not None and hot_key.rate >= HOT_KEY_SHARE * rates[source]:
+            found = [hot_key]
+        else:
+            found = _find_range_parts(key_ranges, loads, wanted, source)
+        if not found:
             continue
-        moves.append(move)
-        utilizations[source] -= (
-            move.rate * source_load.cost * source_load.latency_weight
-        )
-        utilizations[target] += (
-            move.rate * target_load.cost * target_load.latency_weight
-        )
+        sources += 1
+        moves += found
+        _take_room(room, sum(move.rate for move in found))
     return moves
 
 
-def _find_range_part(
-    ranges: list[KeyRange], loads: KeyLoads, target_rate: float, source: ServerId
-) -> RangeMove | None:
-    """Returns the part of a range with the highest rate up to the target rate.
+def _take_room(room: dict[ServerId, float], rate: float) -> None:
+    for name in sorted(room, key=lambda name: -room[name]):
+        taken = min(rate, room[name])
+        room[name] -= taken
+        rate -= taken
+        if room[name] < MIN_MOVE_RATE:
+            del room[name]
+        if rate <= 0:
+            return
+
+
+def _find_range_parts(
+    ranges: list[KeyRange], loads: KeyLoads, wanted: float, source: ServerId
+) -> list[RangeMove]:
+    """Returns ranges, or parts of them, with up to the wanted rate.
 
+    Ranges with many requests for each key come first, as fewer keys then change hands.
     A part starts or ends where its range does, so that no range is split into three.
     """
-    best: RangeMove | None = None
+    busy = []
     for key_range in ranges:
-        keys = list(loads.iterate_between(key_range.start, key_range.end))
-        total = sum(rate for _, rate in keys)
-        if best is not None and total <= best.rate:
-            continue
-        if total <= target_rate:
-            best = RangeMove(
-                start=key_range.start, end=key_range.end, source=source, rate=total
-            )
+        rate = loads.sum_between(key_range.start, key_range.end)
+        if rate >= MIN_MOVE_RATE:
+            busy.append((rate / key_range.size, rate, key_range))
+    busy.sort(key=lambda row: (-row[0], row[2].start))
+    moves: list[RangeMove] = []
+    for _, rate, key_range in busy:
+        if wanted < MIN_MOVE_RATE or len(moves) >= MAX_MOVES_PER_SOURCE:
+            break
+        move: RangeMove | None = RangeMove(
+            start=key_range.start, end=key_range.end, source=source, rate=rate
+        )
+        if rate > wanted:
+            keys = list(loads.iterate_between(key_range.start, key_range.end))
+            move = _cut_range(key_range, keys, wanted, source)
+        if move is None or move.rate < MIN_MOVE_RATE:
             continue
-        part = _cut_range(key_range, keys, target_rate, source)
-        if part is not None and (best is None or part.rate > best.rate):
-            best = part
-    if best is None or best.rate < max(MIN_MOVE_RATE, MIN_MOVE_RATIO * target_rate):
-        return None
-    return best
+        moves.append(move)
+        wanted -= move.rate
+    return moves
 
 
 def _find_hot_key(
@@ -258,7 +370,7 @@
         return None
     rate, key = busiest
     target_load = choose_target(candidates, rate, excluded=(source_load.server,))
-    if target_load is None:
+    if target_load is None or target_load.is_cold:
         return None
     saved = source_load.utilization - (
         target_load.utilization + rate * target_load.cost
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -38,6 +38,7 @@
 # Seconds. The load balancer asks every second and decides by two responses.
 LEAVE_NOTICE = 2.6
 SHUTDOWN_MARGIN = 0.7  # seconds of the grace period reserved for closing streams
+PROBE_INTERVAL = 0.5  # seconds between two probes of a server
 DRAIN_POLL_INTERVAL = 0.020  # seconds
 MAX_LINE_BYTES = 16_384  # in a request line or one header field
 REVOCATION_MARGIN = 0.5  # seconds before the revocation bound at which a view expires
@@ -166,6 +167,7 @@
         await self._start_metrics()
         self._spawn(self._subscription.run())
         self._spawn(self._run_failure_detector())
+        self._spawn(self._run_probes())
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
     async def on_stop(self) -> None:
@@ -336,3 +338,8 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL)
             self._failure_detector.check_hosts()
+
+    async def _run_probes(self) -> None:
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL)
+            await self._gate_host.probe_servers(self._finder.is_own_gate)
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -159,8 +159,7 @@
         revision: Revision of the entry's view; -1 requests the whole view.
         leaving: Whether the entry is shutting down.
         loads: Rows of pool, key and number of requests since the last heartbeat.
-        servers: Rows of server, latency relative to its pool, and offered load divided
-            by its slots.
+        servers: Rows with the fields of `ServerReport`.
         wanted: By workspace, the urgent and the prefetched tokens requested and the
             share that the last leader reported.
     """
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -212,6 +212,12 @@
             pool=pool,
         )
 
+    def is_own_gate(self, gate: GateId) -> bool:
+        """Returns whether this host serves a gate of its own failure domain."""
+        if gate.failure_domain != self._domain or not self._hosts:
+            return False
+        return self._choose_host(gate) == self._host
+
     def _estimate_cost(self, gate: GateId) -> float:
         wait = self._get_load(gate.name).estimate(self._clock())
         penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -51,6 +51,7 @@
 SERVERS_PER_GATE = 3
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
+PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 
 logger = get_logger("gate")
@@ -228,17 +229,52 @@
         self.process_queues()
 
     def list_server_loads(self) -> list[list]:
-        """Returns server, latency factor and utilization of each server in use here."""
+        """Returns the reports on servers of this host as rows of `FleetHeartbeat`."""
         now = self._clock()
         rows = []
         for queue in self._queues.values():
-            for server, latency_factor, utilization in queue.iterate_server_loads(now):
-                if utilization > 0:
-                    rows.append(
-                        [server, round(latency_factor, 2), round(utilization, 2)]
-                    )
+            for report in queue.iterate_reports(now):
+                rows.append(
+                    [
+                        report.server,
+                        round(report.slowdown, 2),
+                        round(report.base_latency, 4),
+                        round(report.utilization, 2),
+                    ]
+                )
         return rows
 
+    async def probe_servers(self, is_own: Callable[[GateId], bool]) -> None:
+        """Asks servers whose speed is not known yet how slow their machines are.
+
+        The first keys can then be assigned by speed, before there are any requests.
+
+        Args:
+            is_own: Whether this host serves a gate.
+        """
+        probes = []
+        for gate, servers in list(self._gates.values()):
+            if not is_own(gate):
+                continue
+            for record in servers:
+                queue = self._get_queue(gate.name)
+                if queue.needs_probe(record.server, PROBE_COUNT):
+                    probes.append(self._probe_server(queue, record))
+        await asyncio.gather(*probes)
+
+    async def _probe_server(self, queue: ServerQueue, record: FleetServer) -> None:
+        pool = self._view.items.find(ItemKind.POOL, record.pool)
+        if pool is None or not pool.health_path:
+            return
+        backend = self._get_backend(record.server)
+        try:
+            slowdown = await backend.probe(pool.health_path)
+        except MonsoonlugError as error:
+            logger.debug("Probe of server {} failed: {}.", record.server, error)
+            return
+        if slowdown is not None:
+            queue.record_probe(self._clock(), record.server, slowdown)
+
     # Handlers of request streams.
 
     def receive(self, peer: Peer, message: object) -> None:
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -39,6 +39,7 @@
 # Share of the time until the deadline. A connect timeout before the deadline still
 # proves that nothing was sent.
 CONNECT_TIMEOUT_SHARE = 0.9
+PROBE_TIMEOUT = 0.5  # seconds until the response to a probe
 KEEPALIVE_TIMEOUT = 60.0  # seconds
 KEEPALIVE_TIMEOUT_SHARE = 0.6  # of the Keep-Alive timeout that the server announces
 READ_SIZE = 65_536  # bytes per read of a response body
@@ -171,6 +172,26 @@
         call.task = None
         return _HttpResponse(backend=self, request=request, call=call)
 
+    async def probe(self, path: str) -> float | None:
+        """Requests the health path of the server; see `BackendProtocol.probe`."""
+        self._connector.set_max_idle(self._max_idle)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT):
+                response = await self._session.get(
+                    URL(f"http://{self.address}{path}", encoded=True),
+                    allow_redirects=False,
+                )
+                slowdown = self.read_slowdown(response)
+                await drain_refusal(response)
+                response.close()
+        except TimeoutError:
+            raise OutcomeUnknown("no response to a probe") from None
+        return slowdown
+
+    def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
+        """Returns the slowdown that a response reports, or None if it reports none."""
+        return None
+
     def build_headers(self, request: BackendRequest, remaining: float) -> CIMultiDict:
         """Returns the headers to send.
 
--- a/src/monsoonlug/items.py
+++ b/src/monsoonlug/items.py
@@ -63,6 +63,7 @@
         connections: Maximum number of connections to one server, over all hosts.
         cold_seconds: Seconds for which a server is cold after its start.
         cold_rate: Maximum rate of a cold server, in requests per second.
+        health_path: URL path of the servers' health check, or an empty string.
     """
 
     name: PoolId
@@ -71,6 +72,7 @@
     connections: int
     cold_seconds: float
     cold_rate: float
+    health_path: str = ""
 
 
 @messages.register(202)
--- a/src/monsoonlug/messages.py
+++ b/src/monsoonlug/messages.py
@@ -1,7 +1,8 @@
 """Messages exchanged between processes, and their msgpack encoding.
 
 A message is encoded as an array: its type number, followed by the values of its
-fields in order. Type numbers, the order of fields and their types must not change.
+fields in order. Type numbers, the order of fields and their types must not change. A
+field that is added at the end needs a default, which stands for it in older messages.
 """
 
 import dataclasses
@@ -22,6 +23,8 @@
 _types_by_number: dict[int, type] = {}
 _numbers_by_type: dict[type, int] = {}
 _checks_by_type: dict[type, list[FieldCheck]] = {}
+# Fields before the first one with a default.
+_required_counts_by_type: dict[type, int] = {}
 
 
 def register(number: int):
@@ -42,6 +45,7 @@
         _types_by_number[number] = message_type
         _numbers_by_type[message_type] = number
         _checks_by_type[message_type] = _list_field_checks(message_type)
+        _required_counts_by_type[message_type] = _count_required(message_type)
         return message_type
 
     return add
@@ -69,13 +73,16 @@
         values = msgpack.unpackb(body, use_list=True, strict_map_key=False)
         message_type = _types_by_number[values[0]]
         checks = _checks_by_type[message_type]
-        if len(values) != len(checks) + 1:
+        # Stored messages of earlier versions lack the fields that were added at the end
+        # with a default.
+        required = _required_counts_by_type[message_type]
+        if not required < len(values) <= len(checks) + 1:
             raise DamagedFrame(
                 f"{message_type.__name__} has {len(values) - 1} fields; "
                 f"expected {len(checks)}"
             )
         fields = {}
-        for (name, allowed, enum), value in zip(checks, values[1:], strict=True):
+        for (name, allowed, enum), value in zip(checks, values[1:], strict=False):
             if enum:
                 value = enum(value)
             elif not isinstance(value, allowed):
@@ -90,6 +97,15 @@
         raise DamagedFrame(f"frame cannot be decoded: {error!r}") from error
 
 
+def _count_required(message_type: type) -> int:
+    count = 0
+    for field in dataclasses.fields(message_type):
+        if field.default is not dataclasses.MISSING:
+            break
+        count += 1
+    return count
+
+
 def _list_field_checks(message_type: type) -> list[FieldCheck]:
     hints = typing.get_type_hints(message_type)
     checks = []
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -231,6 +231,7 @@
         connections=read_count(spec, "maxConnections", minimum=1),
         cold_seconds=read_seconds(spec, "warmup") if "warmup" in spec else 0.0,
         cold_rate=_read_rate(spec, "warmupPerS"),
+        health_path=read_text(spec, "healthPath") if "healthPath" in spec else "",
     )
 
 
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -90,10 +90,15 @@
     def handle_response_head(self, response: aiohttp.ClientResponse) -> None:
         """Updates the slowdown from a response's headers; see `HttpBackend`."""
         super().handle_response_head(response)
+        self.slowdown = self.read_slowdown(response) or self.slowdown
+
+    def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
+        """Reads the slowdown of the server's machine; see `HttpBackend`."""
         # Running and waiting requests, slots, and work time in percent of the usual.
         fields = response.headers.get(SERVER_LOAD_HEADER, "").split(",")
-        if len(fields) == 4 and _NUMBER_PATTERN.fullmatch(fields[3].strip()):
-            self.slowdown = max(int(fields[3]), MIN_WORK_TIME_PERCENT) / 100
+        if len(fields) != 4 or not _NUMBER_PATTERN.fullmatch(fields[3].strip()):
+            return None
+        return max(int(fields[3]), MIN_WORK_TIME_PERCENT) / 100
 
     def get_echoed_id(self, request: BackendRequest) -> str:
         """Returns the caller's id, which the response echoes; see `HttpBackend`."""
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -204,9 +204,12 @@
             self._update_live_rows(now)
         for pool, key, count in heartbeat.loads:
             self.registrar.record_requests(PoolId(pool), key, count)
-        for server, latency_factor, utilization in heartbeat.servers:
+        for server, slowdown, base_latency, utilization in heartbeat.servers:
             self.registrar.record_utilization(
-                ServerId(server), latency_factor, utilization
+                ServerId(server),
+                slowdown=slowdown,
+                base_latency=base_latency,
+                utilization=utilization,
             )
         # Sending a view takes seconds on a slow link. Heartbeats that arrive meanwhile
         # must not cause another one.
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -7,6 +7,7 @@
 no longer hold a lease. This module keeps soft state; the assignments are replicated.
 """
 
+import statistics
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
@@ -46,14 +47,20 @@
 LEASE_MARGIN = 0.2  # seconds; covers rounding and delays of a server's timers
 # Seconds after a response, by when the server's lease has expired on its own clock.
 LEASE_TIMEOUT = LEASE_TIME * MAX_CLOCK_DRIFT + LEASE_MARGIN
-INITIAL_ASSIGNMENT_DELAY = 1.2  # seconds after the last new server
+# Seconds after the last new server, in which entries probe the speed of the servers.
+INITIAL_ASSIGNMENT_DELAY = 2.8
 REMOVAL_TIMEOUT = 20.0  # seconds; longer than any heartbeat is in transit
 MAX_MISSED_HEARTBEATS = 2.5  # heartbeats until a server counts as silent
 MIN_HANDOFF_DELAY = 0.20  # seconds that a server takes to release keys
 MAX_HANDOFF_DELAY = 0.60  # seconds that keys may wait for their new owner
 MAX_DEFERRALS = 6  # heartbeats for which a source waits for a timely target
-MAX_UTILIZATION_GAP = 0.3  # weighted, by which a timely target may exceed the best one
+MAX_DEFERRED_LATENESS = 1.0  # marginal lateness of a source that waits for a target
+MAX_TARGET_GAP = 0.10  # in marginal lateness, of a timely target over the best one
 MAX_RELEASING_SHARE = 0.25  # of the servers that may release keys at the same time
+# Ratio of mean service times from which a server is slower than it reports.
+MIN_LATENCY_RATIO = 1.5
+MIN_LATENCY_FACTOR = 0.2
+MAX_LATENCY_FACTOR = 12.0
 UTILIZATION_WEIGHT = 0.3  # of a new report, in a server's average utilization
 
 logger = get_logger("control")
@@ -66,6 +73,8 @@
     Attributes:
         born: Start time of the process, in Unix milliseconds.
         lease_expires_at: Time from which the process cannot hold a lease any more.
+        slowdown: Service time on the server's machine relative to normal.
+        base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
         deferrals: Heartbeats at which a release waited for a timely target.
         held: Start, end and epoch of the ranges that it holds.
     """
@@ -77,7 +86,8 @@
     cold_until: float = 0.0
     has_left: bool = False
     utilization: float = 0.0
-    latency_factor: float = 1.0
+    slowdown: float = 1.0
+    base_latency: float = 0.0
     deferrals: int = 0
     held: frozenset[tuple[int, int, int]] = frozenset()
 
@@ -286,13 +296,19 @@
         self._get_plan(pool).loads.add(key, count)
 
     def record_utilization(
-        self, server: ServerId, latency_factor: float, utilization: float
+        self,
+        server: ServerId,
+        *,
+        slowdown: float,
+        base_latency: float,
+        utilization: float,
     ) -> None:
-        """Records the latency factor and utilization that a server's gate measured."""
+        """Records what the gate of a server measured; see `ServerReport`."""
         process = self._processes.get(server)
         if process is None:
             return
-        process.latency_factor = latency_factor
+        process.slowdown = slowdown
+        process.base_latency = base_latency
         process.utilization += UTILIZATION_WEIGHT * (utilization - process.utilization)
 
     # Periodic decisions.
@@ -355,8 +371,10 @@
             candidates[record.server] = ServerLoad(
                 server=record.server,
                 failure_domain=record.failure_domain,
-                latency_factor=process.latency_factor,
+                slots=record.slots,
+                is_cold=process.cold_until > now,
             )
+        self._set_latency_factors(candidates)
         rates = dict.fromkeys(candidates, 0.0)
         for key_range in table.iterate():
             candidate = candidates.get(key_range.owner)
@@ -380,6 +398,26 @@
                 )
         return candidates
 
+    def _set_latency_factors(self, candidates: dict[ServerId, ServerLoad]) -> None:
+        # Gates report absolute times, as each measures only a few servers of a pool.
+        processes = {server: self._processes[server] for server in candidates}
+        measured = [p.base_latency for p in processes.values() if p.base_latency > 0]
+        typical = statistics.median(measured) if measured else 1.0
+        latencies = {}
+        for server, process in processes.items():
+            ratio = process.base_latency / typical
+            # Smaller differences are noise; the slowdown tells the machine's speed.
+            if not 1 / MIN_LATENCY_RATIO < ratio < MIN_LATENCY_RATIO and ratio > 0:
+                latencies[server] = process.slowdown * ratio
+            else:
+                latencies[server] = process.slowdown
+        mean = statistics.median(latencies.values()) if latencies else 1.0
+        for server, candidate in candidates.items():
+            factor = latencies[server] / mean
+            candidate.latency_factor = min(
+                max(factor, MIN_LATENCY_FACTOR), MAX_LATENCY_FACTOR
+            )
+
     def _set_costs(
         self, candidates: dict[ServerId, ServerLoad], rates: dict[ServerId, float]
     ) -> None:
@@ -388,7 +426,7 @@
         for server in candidates:
             process = self._processes[server]
             slots = self._view.servers[server].slots
-            work += process.utilization * slots / process.latency_factor
+            work += process.utilization * slots / candidates[server].latency_factor
         total = sum(rates.values())
         work = work / total if total > 0 else 0.0
         for server, candidate in candidates.items():
@@ -441,17 +479,18 @@
 
     def _interleave_domains(
         self, candidates: dict[ServerId, ServerLoad]
-    ) -> list[ServerId]:
+    ) -> dict[ServerId, ServerLoad]:
         domains: dict[FailureDomain, list[ServerId]] = {}
         for server in sorted(candidates):
             domain = candidates[server].failure_domain
             domains.setdefault(domain, []).append(server)
-        interleaved = []
+        interleaved = {}
         groups = list(domains.values())
         while any(groups):
             for group in groups:
                 if group:
-                    interleaved.append(group.pop())
+                    server = group.pop()
+                    interleaved[server] = candidates[server]
         return interleaved
 
     def _assign_range(
@@ -500,15 +539,15 @@
         candidates: dict[ServerId, ServerLoad],
     ) -> list[RangeMove]:
         sources = {release.source for release in plan.releases}
-        max_moves = max(1, int(MAX_RELEASING_SHARE * len(candidates))) - len(sources)
-        if len(candidates) < 2 or max_moves <= 0:
+        max_sources = max(1, int(MAX_RELEASING_SHARE * len(candidates))) - len(sources)
+        if len(candidates) < 2 or max_sources <= 0:
             return []
         owned: dict[ServerId, list[KeyRange]] = {}
         for key_range in table.iterate():
             owned.setdefault(key_range.owner, []).append(key_range)
         excluded = sources | self._list_pending_owners(pool)
         return plan_moves(
-            owned, candidates, plan.loads, excluded=excluded, max_moves=max_moves
+            owned, candidates, plan.loads, excluded=excluded, max_sources=max_sources
         )
 
     def _list_pending_owners(self, pool: PoolId) -> set[ServerId]:
@@ -532,16 +571,17 @@
         if not moves:
             return
         candidates = self._list_candidates(now, record.pool, table)
-        candidates.pop(record.server, None)
+        source = candidates.pop(record.server, None)
+        is_urgent = source is None or (
+            source.estimate_marginal_lateness() > MAX_DEFERRED_LATENESS
+        )
         process.deferrals += 1
         has_started = False
         for item in moves:
             start, end = item.start, item.end
             if any(start <= r.end and r.start <= end for r in plan.releases):
                 continue
-            may_defer = (
-                self._view.is_in_service(record) and process.deferrals < MAX_DEFERRALS
-            )
+            may_defer = not is_urgent and process.deferrals < MAX_DEFERRALS
             rate = plan.loads.sum_between(start, end)
             target = self._choose_target(now, candidates, rate, may_defer)
             if target is None:
@@ -582,8 +622,8 @@
         # Waiting for a heartbeat costs less than an owner with a much higher load.
         if (
             best is not None
-            and found.weighted_utilization
-            > best.weighted_utilization + MAX_UTILIZATION_GAP
+            and found.estimate_marginal_lateness(rate)
+            > best.estimate_marginal_lateness(rate) + MAX_TARGET_GAP
         ):
             return None if may_defer else best
         return found
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import statistics
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -51,6 +52,10 @@
 FASTER_SERVER_RATIO = 1.5
 SLOWDOWN_TTL = 0.3  # seconds for which a reported slowdown is used
 DEFAULT_SLOWDOWN = 1.2  # assumed without a report within SLOWDOWN_TTL
+MAX_SLOWDOWN_REPORTS = 21  # of which the median is a server's typical slowdown
+SLOWDOWN_REPORT_INTERVAL = 0.2  # seconds between two of these reports
+BASE_LATENCY_WEIGHT = 0.05  # of one response in a server's mean service time
+MAX_REPORT_AGE = 1.0  # seconds for which an idle server is reported after a probe
 RECONNECT_DELAY = 0.5  # seconds until an unreachable server is tried again
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
 
@@ -97,6 +102,60 @@
         self._latency_factors.pop(server, None)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerReport:
+    """What a gate measured of one server.
+
+    Attributes:
+        slowdown: Service time on the server's machine relative to normal.
+        base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
+        utilization: Offered load divided by the capacity of the slots.
+    """
+
+    server: ServerId
+    slowdown: float
+    base_latency: float
+    utilization: float
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerSpeed:
+    """Typical slowdown of a server, and its mean service time without the slowdown.
+
+    The slowdown is the median of recent reports, so that short disturbances of the
+    server's machine do not change it.
+    """
+
+    base_latency: float = 0.0
+    latency_count: int = 0
+    recorded_at: float = -math.inf
+    _reports: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_SLOWDOWN_REPORTS)
+    )
+
+    @property
+    def slowdown(self) -> float:
+        """Typical service time on the server's machine relative to normal."""
+        return statistics.median(self._reports) if self._reports else 1.0
+
+    @property
+    def report_count(self) -> int:
+        """Number of reports that the typical slowdown is taken from."""
+        return len(self._reports)
+
+    def record_slowdown(self, now: float, slowdown: float) -> None:
+        """Adds a slowdown that the server reported."""
+        if now - self.recorded_at >= SLOWDOWN_REPORT_INTERVAL:
+            self._reports.append(slowdown)
+            self.recorded_at = now
+
+    def record_latency(self, latency: float, slowdown: float) -> None:
+        """Adds the latency of a response, in seconds, with its slowdown."""
+        self.latency_count += 1
+        weight = max(1 / self.latency_count, BASE_LATENCY_WEIGHT)
+        self.base_latency += weight * (latency / slowdown - self.base_latency)
+
+
 @dataclass(slots=True, kw_only=True)
 class _RunningRequest:
     request: QueuedRequest
@@ -112,6 +171,7 @@
         cold_rate: Requests per second while the server is cold.
         arrivals: Arrival time and expected service time of recent requests that only
             this server may run.
+        speed: Measured service times.
     """
 
     name: ServerId
@@ -128,6 +188,7 @@
         default_factory=lambda: [FairQueue() for _ in RequestClass]
     )
     arrivals: deque[tuple[float, float]] = field(default_factory=deque)
+    speed: ServerSpeed = field(default_factory=ServerSpeed)
 
     def is_cold(self, now: float) -> bool:
         return now < self.cold_until
@@ -299,6 +360,8 @@
         if outcome is Outcome.UNREACHED:
             self._mark_unreachable(now, state)
         if outcome is Outcome.ANSWERED:
+            state.speed.record_slowdown(now, slowdown)
+            state.speed.record_latency(latency, slowdown)
             self._service_model.record(running.request.route, server, latency)
         elif outcome is Outcome.ABANDONED and latency > running.estimate:
             # The time until the abort is a lower bound of the latency.
@@ -343,22 +406,30 @@
             return math.inf
         return sum(self._predict_shared(now, route, request_class))
 
-    def iterate_server_loads(
-        self, now: float
-    ) -> Iterator[tuple[ServerId, float, float]]:
-        """Yields each server with its latency factor and its utilization.
+    def record_probe(self, now: float, server: ServerId, slowdown: float) -> None:
+        """Adds a slowdown that a server reported to a probe."""
+        state = self._servers.get(server)
+        if state is not None:
+            state.speed.record_slowdown(now, slowdown)
 
-        The utilization is the offered load divided by the slots.
-        """
+    def needs_probe(self, server: ServerId, count: int) -> bool:
+        """Returns whether a server reported its slowdown less often than this."""
+        state = self._servers.get(server)
+        return state is not None and state.speed.report_count < count
+
+    def iterate_reports(self, now: float) -> Iterator[ServerReport]:
+        """Yields what was measured of each server in use or recently probed."""
         for server in self._servers.values():
             while server.arrivals and server.arrivals[0][0] < now - UTILIZATION_WINDOW:
                 server.arrivals.popleft()
+            if not server.arrivals and now - server.speed.recorded_at > MAX_REPORT_AGE:
+                continue
             work = sum(amount for _, amount in server.arrivals)
-            utilization = work / (UTILIZATION_WINDOW * server.slots)
-            yield (
-                server.name,
-                self._service_model.get_latency_factor(server.name),
-                utilization,
+            yield ServerReport(
+                server=server.name,
+                slowdown=server.speed.slowdown,
+                base_latency=server.speed.base_latency,
+                utilization=work / (UTILIZATION_WINDOW * server.slots),
             )
 
     def _mark_unreachable(self, now: float, server: _ServerState) -> None:
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -6,9 +6,11 @@
     choose_target,
     plan_initial_ranges,
     plan_moves,
+    plan_rates,
 )
 from monsoonlug.ids import SLICE_COUNT
 from monsoonlug.keyranges import KeyRange
+from monsoonlug.lateness import estimate_lateness
 
 
 def build_loads(rates):
@@ -28,10 +30,14 @@
     }
 
 
+def build_idle_servers(count):
+    return {f"s{n}": ServerLoad(server=f"s{n}") for n in range(count)}
+
+
 @pytest.mark.parametrize("count", [1, 3, 29, 143])
 def test_initial_ranges_cover_all_keys_evenly(count):
     """Guards against keys without an owner and against uneven initial ranges."""
-    servers = [f"s{number}" for number in range(count)]
+    servers = build_idle_servers(count)
     ranges = plan_initial_ranges(servers)
     next_start = 0
     sizes = dict.fromkeys(servers, 0)
@@ -48,7 +54,7 @@
 
     All load is on one contiguous eighth of the keys.
     """
-    servers = [f"s{number}" for number in range(29)]
+    servers = build_idle_servers(29)
     busy = SLICE_COUNT // 8
     loads = dict.fromkeys(servers, 0)
     for start, end, owner in plan_initial_ranges(servers):
@@ -67,7 +73,7 @@
     }
     loads = build_loads({key: 0.2 for key in range(100)})
     candidates = build_candidates({"a": 2.0, "b": 0.0})
-    (move,) = plan_moves(owned, candidates, loads, excluded=set(), max_moves=4)
+    (move,) = plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
     assert move.source == "a"
     assert 0.3 * 20 < move.rate < 0.7 * 20
     assert move.start == 0 or move.end == 99
@@ -78,7 +84,7 @@
     owned = {"a": [KeyRange(start=0, end=99, owner="a", epoch=1)], "b": []}
     loads = build_loads({key: 0.02 for key in range(100)})
     candidates = build_candidates({"a": 0.2, "b": 0.05})
-    assert not plan_moves(owned, candidates, loads, excluded=set(), max_moves=4)
+    assert not plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
 
 
 def test_keys_move_from_a_slow_server_to_a_fast_one():
@@ -94,10 +100,113 @@
     candidates = build_candidates(
         {"slow": 0.6, "fast": 0.3}, latency_factor={"slow": 1.7, "fast": 0.7}
     )
-    moves = plan_moves(owned, candidates, loads, excluded=set(), max_moves=4)
+    moves = plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
     assert [move.source for move in moves] == ["slow"]
 
 
+# Four servers on fast machines, seven on normal and five on slow ones.
+UNEVEN_SPEEDS = [0.55] * 4 + [1.0] * 7 + [1.6] * 5
+
+
+def build_uneven_pool(*, work=0.065, slots=3):
+    """Returns the candidates of a pool on machines of uneven speed, without load."""
+    candidates = {}
+    for number, factor in enumerate(UNEVEN_SPEEDS):
+        candidates[f"s{number}"] = ServerLoad(
+            server=f"s{number}",
+            slots=slots,
+            cost=work * factor / slots,
+            latency_factor=factor,
+        )
+    return candidates
+
+
+def count_late(candidates, rates):
+    late = 0.0
+    for name, rate in rates.items():
+        item = candidates[name]
+        late += rate * estimate_lateness(
+            item.latency_factor, rate * item.cost, item.slots
+        )
+    return late
+
+
+@pytest.mark.parametrize("total", [100.0, 190.0, 300.0])
+def test_uneven_speeds_get_the_rates_with_the_fewest_late_answers(total):
+    """Answers the pattern of servers of uneven speed under even load.
+
+    The baselines are equal rates, and equal utilization of all servers.
+    """
+    candidates = build_uneven_pool()
+    rates = plan_rates(candidates, total)
+    assert sum(rates.values()) == pytest.approx(total)
+    capacity = sum(1 / item.cost for item in candidates.values())
+    balanced = {name: total / capacity / item.cost for name, item in candidates.items()}
+    assert count_late(candidates, rates) < count_late(candidates, balanced)
+    equal = dict.fromkeys(candidates, total / len(candidates))
+    assert count_late(candidates, rates) < count_late(candidates, equal)
+
+
+def test_overload_is_spread_by_capacity():
+    """Answers the pattern of more requests than all servers can run."""
+    candidates = build_uneven_pool()
+    rates = plan_rates(candidates, 2_000.0)
+    utilizations = {round(rate * candidates[n].cost, 6) for n, rate in rates.items()}
+    assert len(utilizations) == 1
+
+
+def test_moves_settle_without_going_back():
+    """Guards against keys that move back and forth between servers of uneven speed.
+
+    All keys are equally busy, and each planned move is carried out at once.
+    """
+    candidates = build_uneven_pool()
+    owned = {name: [] for name in candidates}
+    for start, end, owner in plan_initial_ranges(build_idle_servers(len(candidates))):
+        owned[owner].append(KeyRange(start=start, end=end, owner=owner, epoch=1))
+    loads = build_loads({key: 0.05 for key in range(0, SLICE_COUNT, 11)})
+    movers = []
+    for _ in range(40):
+        for name, item in candidates.items():
+            rate = sum(loads.sum_between(r.start, r.end) for r in owned[name])
+            item.utilization = rate * item.cost
+            item.range_count = len(owned[name])
+        moves = plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
+        for move in moves:
+            target = choose_target(candidates, move.rate, excluded=(move.source,))
+            movers.append((move.source, target.server))
+            target.utilization += move.rate * target.cost
+            target.range_count += 1
+            owned[move.source] = cut_out(owned[move.source], move)
+            owned[target.server].append(
+                KeyRange(start=move.start, end=move.end, owner=target.server, epoch=2)
+            )
+    assert not moves
+    sources = {source for source, _ in movers}
+    assert not sources & {target for _, target in movers}
+
+
+def cut_out(ranges, move):
+    kept = []
+    for row in ranges:
+        if move.end < row.start or row.end < move.start:
+            kept.append(row)
+            continue
+        for start, end in ((row.start, move.start - 1), (move.end + 1, row.end)):
+            if start <= end:
+                kept.append(KeyRange(start=start, end=end, owner=row.owner, epoch=1))
+    return kept
+
+
+def test_cold_servers_get_no_load_by_moves():
+    """Guards against a server that has just started and is sent busy keys."""
+    owned = {"a": [KeyRange(start=0, end=99, owner="a", epoch=1)], "b": []}
+    loads = build_loads({key: 0.2 for key in range(100)})
+    candidates = build_candidates({"a": 2.0, "b": 0.0})
+    candidates["b"].is_cold = True
+    assert not plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
+
+
 def test_single_hot_key_moves_to_a_faster_server():
     """Guards against one hot key that stays on a slow server.
 
@@ -112,7 +221,7 @@
         {"slow": 4.0, "fast": 0.1}, cost=0.16, latency_factor={"slow": 1.6, "fast": 0.7}
     )
     candidates["fast"].cost = 0.07
-    (move,) = plan_moves(owned, candidates, loads, excluded=set(), max_moves=4)
+    (move,) = plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
     assert (move.start, move.end) == (5, 5)
 
 
@@ -121,7 +230,7 @@
     owned = {"a": [KeyRange(start=0, end=9, owner="a", epoch=1)], "b": []}
     candidates = build_candidates({"a": 2.5, "b": 0.0})
     loads = build_loads({5: 25.0})
-    assert not plan_moves(owned, candidates, loads, excluded=set(), max_moves=4)
+    assert not plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
 
 
 def test_server_with_too_many_ranges_is_not_chosen():
@@ -141,3 +250,34 @@
     assert loads.rates[7] < 0.5 * first
     loads.decay(60.0)
     assert 7 not in loads.rates
+
+
+def test_suddenly_hot_key_counts_at_once():
+    """Answers the pattern of one key that gets 60 requests per second for 5 s.
+
+    Over the long average it would count as a third of its rate after one second.
+    """
+    loads = KeyLoads()
+    for tick in range(1, 5):
+        loads.add(7, 15)
+        loads.add(8, 1)
+        loads.decay(0.25 * tick)
+    assert loads.get_rate(7) > 0.5 * 60
+    assert loads.get_rate(8) < 2.0
+
+
+def test_hot_key_leaves_the_rest_of_its_server_alone():
+    """Guards against many moved ranges where one key is the cause."""
+    owned = {
+        "slow": [KeyRange(start=0, end=99, owner="slow", epoch=1)],
+        "fast": [KeyRange(start=100, end=199, owner="fast", epoch=1)],
+    }
+    loads = build_loads({key: 0.1 for key in range(100)} | {5: 25.0})
+    candidates = build_candidates(
+        {"slow": 2.0, "fast": 0.1},
+        cost=0.06,
+        latency_factor={"slow": 1.0, "fast": 0.5},
+    )
+    candidates["fast"].cost = 0.03
+    (move,) = plan_moves(owned, candidates, loads, excluded=set(), max_sources=4)
+    assert (move.start, move.end) == (5, 5)
--- a/tests/test_gate_manager.py
+++ b/tests/test_gate_manager.py
@@ -66,6 +66,9 @@
             raise OutcomeUnknown()
         return FakeAnswer()
 
+    async def probe(self, path):
+        return None
+
     def cancel(self, request):
         self.cancelled[request].set()
         return True
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -293,8 +293,10 @@
         leader.now += PERIOD
         for key in range(hot.start, hot.start + 100):
             leader.registrar.record_requests("desk", key, 1)
-        leader.registrar.record_utilization("s1", 1.0, 1.5)
-        leader.registrar.record_utilization("s2", 1.0, 0.1)
+        for server, utilization in (("s1", 1.5), ("s2", 0.1)):
+            leader.registrar.record_utilization(
+                server, slowdown=1.0, base_latency=0.1, utilization=utilization
+            )
         leader.send_heartbeat("s2")
         leader.run_timer()
         held = leader.send_heartbeat("s1")
@@ -308,3 +310,27 @@
             break
     assert missing
     assert leader.count_keys("s1") == before
+
+
+def test_speeds_measured_on_different_hosts_are_comparable(leader):
+    """Guards against a slow server that looks like a fast one.
+
+    Each host measures only the servers whose gates it serves. A factor relative to
+    these says nothing about the rest of the pool.
+    """
+    table = leader.fleet.state.view.tables["desk"]
+    before = leader.count_keys("s1")
+    for _ in range(10):
+        leader.now += PERIOD
+        for row in table.iterate():
+            leader.registrar.record_requests("desk", row.start, 1)
+        for server, latency in (("s1", 0.12), ("s2", 0.04)):
+            leader.registrar.record_utilization(
+                server, slowdown=1.0, base_latency=latency, utilization=0.3
+            )
+        held = leader.send_heartbeat("s2")
+        leader.run_timer()
+        held = leader.send_heartbeat("s1")
+        if sum(row.size for row in held) < before:
+            return
+    pytest.fail("no key left the slow server")
