Open streams between entries on demand and merge deltas of the view

Change: an entry opens the stream to a host with its first request there; commits within 30 ms go out as one delta; large messages to many entries are compressed once; the first assignment has at most 4,096 ranges and replaces the table in one step.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -18,6 +18,7 @@
 )
 
 RANGES_PER_SERVER = 20  # at first; the answer to a heartbeat is limited to 4 KiB
+MAX_RANGES_PER_POOL = 4_096  # at first; every entry receives all of them
 MIN_INITIAL_RANGES = 2  # of a slow server, so that its speed continues to be measured
 MAX_INITIAL_RANGES = 52
 GOLDEN_RATIO = 0.618034
@@ -183,7 +184,9 @@
     counts = {}
     for name, rate in rates.items():
         share = rate / sum(rates.values())
-        count = round(share * RANGES_PER_SERVER * len(servers))
+        count = round(
+            share * min(RANGES_PER_SERVER * len(servers), MAX_RANGES_PER_POOL)
+        )
         counts[name] = min(max(count, MIN_INITIAL_RANGES), MAX_INITIAL_RANGES)
     return counts
 
--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -1,7 +1,7 @@
 """Delivers an admitted request to a gate and the response to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -38,7 +38,7 @@
 )
 from monsoonlug.exchanges import MAX_CHUNK_BYTES, Exchange, ExchangeTable, ResponseFrame
 from monsoonlug.gate import Outcome
-from monsoonlug.ids import Ran, RequestId, ServerId
+from monsoonlug.ids import HostId, Ran, RequestId, ServerId
 from monsoonlug.messages import (
     RequestFailed,
     RequestHead,
@@ -61,12 +61,14 @@
 
     Attributes:
         clock: Monotonic clock, in seconds.
+        connect: Opens the stream to a host; None if streams open by themselves.
     """
 
     finder: TargetFinder
     exchanges: ExchangeTable
     records: RecordClient
     clock: Callable[[], float]
+    connect: Callable[[HostId], Awaitable[None]] | None = None
 
 
 class Delivery:
@@ -217,6 +219,9 @@
         )
         if target is None:
             return self._fail_attempt(send.attempt, NoOwner, NO_OWNER_RETRY_AFTER)
+        connect = self._context.connect
+        if connect is not None and not self._context.exchanges.has_peer(target.host):
+            await connect(target.host)
         self._decide(Sending(attempt=send.attempt))
         head = self._build_head(target, send.attempt)
         try:
--- a/src/monsoonlug/fleet.py
+++ b/src/monsoonlug/fleet.py
@@ -24,6 +24,7 @@
     PutServer,
     RemoveServer,
     ServerRemoved,
+    covers_all_keys,
     pack_range,
     read_range,
 )
@@ -101,9 +102,7 @@
             case ServerRemoved():
                 self.servers.pop(change.server, None)
             case KeysAssigned():
-                table = self.tables[change.pool]
-                for row in change.rows:
-                    table.assign(read_range(row))
+                self._assign_keys(change)
             case DomainChanged(in_service=True):
                 self.out_of_service_domains.discard(change.failure_domain)
             case DomainChanged(in_service=False):
@@ -115,6 +114,18 @@
             case _:
                 self.items.apply(change)
 
+    def _assign_keys(self, change: KeysAssigned) -> None:
+        table = self.tables[change.pool]
+        ranges = [read_range(row) for row in change.rows]
+        if covers_all_keys(change):
+            try:
+                table.assign_all(ranges)
+            except ValueError as error:
+                raise DamagedFrame(f"keys of {change.pool}: {error}") from error
+            return
+        for key_range in ranges:
+            table.assign(key_range)
+
     def list_changes(self) -> list:
         """Returns the changes that build this view from an empty one."""
         changes = self.items.list_changes()
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -144,6 +144,7 @@
             exchanges=self._exchanges,
             records=None,
             clock=read_clock,
+            connect=lambda host: self._host_links.connect(host),
         )
         self._ingress = Ingress(
             protocol=self._caller_protocol,
@@ -161,6 +162,7 @@
             on_close=self._close_host,
             on_message=self._receive_response,
             random=random,
+            on_demand=True,
         )
         self._add_own_peer()
         await self._listen()
@@ -273,9 +275,9 @@
         self._failure_detector.remove_host(host)
 
     def _is_reachable(self, host: HostId) -> bool:
-        return self._exchanges.has_peer(
-            host
-        ) and not self._failure_detector.is_unresponsive(host)
+        if not self._exchanges.has_peer(host):
+            return self._host_links.may_open(host)
+        return not self._failure_detector.is_unresponsive(host)
 
     def _send(self, host: HostId, message: object) -> bool:
         return self._host_links.send(host, message)
@@ -322,7 +324,7 @@
         self._finder.update_hosts(hosts)
 
     def _update_host_links(self, now: float) -> None:
-        """Opens and closes streams; keeps departed hosts while responses may arrive."""
+        """Closes streams to departed hosts once no responses can arrive any more."""
         for host, departed_at in list(self._departed_at.items()):
             if now - departed_at > DEPARTED_HOST_RETENTION:
                 del self._departed_at[host]
--- a/src/monsoonlug/keyranges.py
+++ b/src/monsoonlug/keyranges.py
@@ -107,3 +107,22 @@
             pieces[-1] = replace(pieces[-1], end=following.end)
         self._ranges[first : last + 1] = pieces
         self._starts[first : last + 1] = [piece.start for piece in pieces]
+
+    def assign_all(self, ranges: list[KeyRange]) -> None:
+        """Replaces the ownership of all keys.
+
+        Args:
+            ranges: Ranges in key order that cover all keys without gaps.
+
+        Raises:
+            ValueError: If the ranges have gaps or overlap.
+        """
+        next_start = 0
+        for key_range in ranges:
+            if key_range.start != next_start or key_range.end < next_start:
+                raise ValueError(f"range starts at {key_range.start}, not {next_start}")
+            next_start = key_range.end + 1
+        if next_start != SLICE_COUNT:
+            raise ValueError(f"ranges end at {next_start - 1}, not {LAST_KEY}")
+        self._ranges = list(ranges)
+        self._starts = [key_range.start for key_range in ranges]
--- a/src/monsoonlug/messages.py
+++ b/src/monsoonlug/messages.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import typing
+import zlib
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +17,9 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 1_048_576
+MIN_COMPRESSED_BYTES = 1_024  # of a message that is sent to many entries
+MAX_DECOMPRESSED_BYTES = 2 * MAX_FRAME_BYTES
+COMPRESSION_LEVEL = 6
 
 # Name, allowed types and, for an enum, its class, which replaces the allowed types.
 FieldCheck = tuple[str, tuple[type, ...], type | None]
@@ -92,9 +96,39 @@
                     f"{type(value).__name__}; expected {expected}"
                 )
             fields[name] = value
-        return message_type(**fields)
+        message = message_type(**fields)
     except (ValueError, TypeError, KeyError, IndexError) as error:
         raise DamagedFrame(f"frame cannot be decoded: {error!r}") from error
+    return _decompress(message) if isinstance(message, Compressed) else message
+
+
+def encode_compressed(message: object) -> bytes:
+    """Serializes a message like `encode`, compressed if it is large.
+
+    >>> decode(encode_compressed(Redirect(leader="c" * 10_000))).leader[:3]
+    'ccc'
+    """
+    body = encode(message)
+    if len(body) < MIN_COMPRESSED_BYTES:
+        return body
+    return encode(Compressed(data=zlib.compress(body, COMPRESSION_LEVEL)))
+
+
+def _decompress(message: "Compressed") -> object:
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(message.data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise DamagedFrame(f"compressed frame cannot be decoded: {error}") from error
+    if not decompressor.eof:
+        raise DamagedFrame(
+            "compressed frame is incomplete or exceeds the limit of "
+            f"{MAX_DECOMPRESSED_BYTES} bytes"
+        )
+    inner = decode(body)
+    if isinstance(inner, Compressed):
+        raise DamagedFrame("a compressed frame contains another one")
+    return inner
 
 
 def _count_required(message_type: type) -> int:
@@ -131,6 +165,14 @@
     return (origin or hint,)
 
 
+@register(2)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Compressed:
+    """Another encoded message, compressed with zlib."""
+
+    data: bytes
+
+
 @register(1)
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Hello:
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -35,9 +35,13 @@
 from monsoonlug.subscribers import Subscriber, SubscriberStreams
 
 MAX_KEPT_DELTAS = 500  # an entry that lags further gets the whole view
+MAX_MERGED_BYTES = 524_288  # of the changes in one delta
 MAX_UNSENT_BYTES = 4 * 1_048_576  # queued for a slow entry
 VIEW_CHUNK_BYTES = 262_144  # in one `FleetViewChunk`
 ENTRY_TIMEOUT = 1.6  # seconds without a heartbeat until an entry is not live
+# Seconds for which deltas are batched. Each message costs every entry the same,
+# whatever its size.
+DELTA_BATCH_DELAY = 0.030
 READY_BATCH_DELAY = 0.050  # seconds for which `KeyStatus` with `ready` are batched
 MAX_CONFIRMATION_AGE = 0.3  # seconds since a confirmed round, to grant tokens
 HOST_LIST_DELAY = 0.6  # seconds after an election, for entries to send heartbeats
@@ -69,6 +73,7 @@
         self._entries: dict[HostId, _LiveEntry] = {}
         self._live_rows: list[list[str]] = []
         self._confirmed_since = 0.0
+        self._flush_timer: asyncio.TimerHandle | None = None
 
     def decide(self) -> None:
         """Proposes the registrar's decisions and updates the list of live entries."""
@@ -105,6 +110,8 @@
         self._send_notices(urgent)
 
     def _send_ready(self) -> None:
+        # An entry ignores the status of an assignment that it does not know yet.
+        self._flush_deltas()
         ready, self._ready_batch = self._ready_batch, []
         self._send_notices(ready)
 
@@ -161,7 +168,40 @@
                 self._rate_limiter.configure(
                     self._clock(), list_limits(self._view.items)
                 )
-        self._send_delta(delta.base, delta.revision, delta)
+        if self._flush_timer is None and self._subscribers:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_later(DELTA_BATCH_DELAY, self._flush_deltas)
+
+    def _flush_deltas(self) -> None:
+        """Sends the deltas of the last commits to all entries, as one message."""
+        self._flush_timer = None
+        bodies: dict[int, bytes] = {}
+        revision = self._view.revision
+        for subscriber in list(self._subscribers):
+            base = subscriber.sent_revision
+            if base is None or base == revision:
+                continue
+            if base not in bodies:
+                merged = self._merge_deltas(base)
+                if merged is None:
+                    subscriber.sent_revision = None
+                    continue
+                bodies[base] = messages.encode_compressed(merged)
+            self._send_encoded(subscriber, bodies[base])
+            subscriber.sent_revision = revision
+
+    def _merge_deltas(self, base: int) -> FleetDelta | None:
+        """Returns one delta from a revision to the current one.
+
+        Returns None if the revision is not known or the whole view is sent better.
+        """
+        missing = [item for item in self._deltas if item.base >= base]
+        if not missing or missing[0].base != base:
+            return None
+        changes = [change for item in missing for change in item.changes]
+        if sum(len(change) for change in changes) > MAX_MERGED_BYTES:
+            return None
+        return FleetDelta(base=base, revision=missing[-1].revision, changes=changes)
 
     def handle_restored(self) -> None:
         """Drops the kept deltas after the whole state was replaced."""
@@ -216,12 +256,15 @@
         if subscriber.sent_revision is None:
             self._catch_up(subscriber, heartbeat.revision)
         if not subscriber.live_hosts_sent and self._live_rows:
-            self._send_live_hosts(subscriber)
+            subscriber.live_hosts_sent = True
+            self._send(subscriber, self._build_live_hosts())
         self.read_index_queue.run_after_round(
             partial(self._respond, subscriber, heartbeat)
         )
 
     def _respond(self, subscriber: Subscriber, heartbeat: FleetHeartbeat) -> None:
+        if subscriber.sent_revision != self._view.revision:
+            self._flush_deltas()
         grant = self._grant_tokens(heartbeat.sequence, heartbeat.host, heartbeat.wanted)
         response = FleetHeartbeatResponse(
             sequence=heartbeat.sequence,
@@ -278,21 +321,19 @@
             return
         self._live_rows = rows
         logger.info("Live entries are {}.", ", ".join(row[0] for row in rows))
-        for subscriber in list(self._subscribers):
-            self._send_live_hosts(subscriber)
+        for subscriber in self._subscribers:
+            subscriber.live_hosts_sent = True
+        self._send_all(self._build_live_hosts())
 
-    def _send_live_hosts(self, subscriber: Subscriber) -> None:
-        subscriber.live_hosts_sent = True
-        term = self.group.replica.term
-        self._send(subscriber, LiveHostList(term=term, rows=self._live_rows))
+    def _build_live_hosts(self) -> LiveHostList:
+        return LiveHostList(term=self.group.replica.term, rows=self._live_rows)
 
     # Views.
 
     def _catch_up(self, subscriber: Subscriber, revision: int) -> None:
         view = self._view
-        missing = [item for item in self._deltas if item.base >= revision]
-        is_known = bool(missing) and missing[0].base == revision
-        if revision < 0 or (revision != view.revision and not is_known):
+        merged = self._merge_deltas(revision)
+        if revision < 0 or (revision != view.revision and merged is None):
             data = view.pack()
             self._send_view(
                 subscriber,
@@ -301,9 +342,8 @@
                 chunk_type=FleetViewChunk,
                 chunk_size=VIEW_CHUNK_BYTES,
             )
-        elif revision != view.revision:
-            for delta in missing:
-                self._send(subscriber, delta)
+        elif merged is not None:
+            self._send(subscriber, merged)
         subscriber.sent_revision = view.revision
         for status in _batch_key_status(self.registrar.list_status(self._clock())):
             self._send(subscriber, status)
--- a/src/monsoonlug/subscribers.py
+++ b/src/monsoonlug/subscribers.py
@@ -66,17 +66,17 @@
         """Handles a message from an entry."""
 
     def _send(self, subscriber: Subscriber, message: object) -> None:
-        self._send_encoded(subscriber, messages.encode(message))
+        self._send_encoded(subscriber, messages.encode_compressed(message))
 
     def _send_all(self, message: object) -> None:
         """Sends a message to all entries, encoding it once."""
-        body = messages.encode(message)
+        body = messages.encode_compressed(message)
         for subscriber in list(self._subscribers):
             self._send_encoded(subscriber, body)
 
     def _send_delta(self, base: int, revision: int, message: object) -> None:
         """Sends a delta to the entries that are at its base, encoding it once."""
-        body = messages.encode(message)
+        body = messages.encode_compressed(message)
         for subscriber in list(self._subscribers):
             if subscriber.sent_revision == base:
                 self._send_encoded(subscriber, body)
