Index key ranges by owner at the leader and blocks at entries by range

Cause: each heartbeat of a server went through all ranges and all pending grants, each release through all keys again, and each blocked range at an entry copied the list. Change: an index of ranges by owner, pending grants by owner, candidates of one decision kept for 0.3 s, blocks in a table.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -36,7 +36,7 @@
 MIN_KEY_MOVE_GAIN = 0.15  # of the source's utilization, saved by moving one hot key
 MIN_MOVE_RATE = 0.5  # requests per second
 MAX_MOVES_PER_SOURCE = 8  # ranges that one server releases at a time
-BISECTION_STEPS = 30
+BISECTION_STEPS = 16
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/monsoonlug/keyranges.py
+++ b/src/monsoonlug/keyranges.py
@@ -68,6 +68,8 @@
         self.pool = pool
         self._ranges = [KeyRange(start=0, end=LAST_KEY)]
         self._starts = [0]
+        # First keys of each owner's ranges; built by the first `iterate_owned`.
+        self._starts_by_owner: dict[ServerId, set[int]] | None = None
 
     def __len__(self) -> int:
         return len(self._ranges)
@@ -80,6 +82,16 @@
         """Yields all ranges in key order."""
         return iter(self._ranges)
 
+    def iterate_owned(self, owner: ServerId) -> Iterator[KeyRange]:
+        """Yields the ranges of an owner in key order."""
+        if self._starts_by_owner is None:
+            self._starts_by_owner = {}
+            for key_range in self._ranges:
+                owned = self._starts_by_owner.setdefault(key_range.owner, set())
+                owned.add(key_range.start)
+        for start in sorted(self._starts_by_owner.get(owner, ())):
+            yield self.find(start)
+
     def iterate_between(self, start: int, end: int) -> Iterator[KeyRange]:
         """Yields the parts of ranges from `start` to `end` included."""
         position = bisect_right(self._starts, start) - 1
@@ -105,6 +117,12 @@
         if following is not None and pieces[-1].can_merge_with(following):
             last += 1
             pieces[-1] = replace(pieces[-1], end=following.end)
+        if self._starts_by_owner is not None:
+            for key_range in self._ranges[first : last + 1]:
+                self._starts_by_owner[key_range.owner].discard(key_range.start)
+            for key_range in pieces:
+                owned = self._starts_by_owner.setdefault(key_range.owner, set())
+                owned.add(key_range.start)
         self._ranges[first : last + 1] = pieces
         self._starts[first : last + 1] = [piece.start for piece in pieces]
 
@@ -126,3 +144,4 @@
             raise ValueError(f"ranges end at {next_start - 1}, not {LAST_KEY}")
         self._ranges = list(ranges)
         self._starts = [key_range.start for key_range in ranges]
+        self._starts_by_owner = None
--- a/src/monsoonlug/lateness.py
+++ b/src/monsoonlug/lateness.py
@@ -59,6 +59,7 @@
     return UTILIZATION_STEP * bisect_right(table, marginal)
 
 
+@lru_cache(maxsize=4_096)
 def _find_bucket(latency_factor: float) -> int:
     return round(math.log(latency_factor) / math.log(BUCKET_RATIO))
 
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -7,6 +7,7 @@
 no longer hold a lease. This module keeps soft state; the assignments are replicated.
 """
 
+import math
 import statistics
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
@@ -55,6 +56,7 @@
 MAX_HANDOFF_DELAY = 0.60  # seconds that keys may wait for their new owner
 MAX_DEFERRALS = 6  # heartbeats for which a source waits for a timely target
 MAX_DEFERRED_LATENESS = 1.0  # marginal lateness of a source that waits for a target
+MAX_CANDIDATES_AGE = 0.3  # seconds; longer than the interval of decisions
 MAX_TARGET_GAP = 0.10  # in marginal lateness, of a timely target over the best one
 MAX_RELEASING_SHARE = 0.25  # of the servers that may release keys at the same time
 # Ratio of mean service times from which a server is slower than it reports.
@@ -94,8 +96,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class _PoolPlan:
+    """Planned moves and measured loads of one pool.
+
+    Attributes:
+        candidates: Servers that may own keys, with the effect of all choices since
+            `candidates_at`.
+    """
+
     loads: KeyLoads = field(default_factory=KeyLoads)
     planned_moves: list[RangeMove] = field(default_factory=list)
+    candidates: dict[ServerId, ServerLoad] = field(default_factory=dict)
+    candidates_at: float = -math.inf
     releases: list[Release] = field(default_factory=list)
     last_joined_at: float = 0.0
 
@@ -114,7 +125,8 @@
         self._heartbeat_interval = heartbeat_interval
         self._processes: dict[ServerId, _Process] = {}
         self._plans: dict[PoolId, _PoolPlan] = {}
-        self._pending_grants: dict[tuple[PoolId, int, int], int] = {}
+        # Epochs of assignments that were not granted yet, by owner, pool and range.
+        self._pending_grants: dict[ServerId, dict[tuple[PoolId, int, int], int]] = {}
         self._notices: list[object] = []
         for record in view.servers.values():
             # The previous leader may have renewed every lease just before it lost its
@@ -164,7 +176,9 @@
                 born=heartbeat.born, last_heartbeat_at=now, lease_expires_at=now
             )
             self._processes[heartbeat.server] = process
-            self._get_plan(heartbeat.pool).last_joined_at = now
+            plan = self._get_plan(heartbeat.pool)
+            plan.last_joined_at = now
+            plan.candidates_at = -math.inf
         process.last_heartbeat_at = now
         process.sequence = heartbeat.sequence
         process.held = frozenset(heartbeat.held)
@@ -257,12 +271,12 @@
             self._start_releases(now, record, process, table)
         releases = self._get_plan(record.pool).releases
         ranges = []
-        for key_range in table.iterate():
-            if key_range.owner != server or key_range.born != born:
+        for key_range in table.iterate_owned(server):
+            if key_range.born != born:
                 continue
             for part in subtract_releases(key_range, releases):
-                self._confirm_granted(record.pool, part)
                 ranges.append(self._strip_handover(process, part))
+        self._confirm_granted(server, record.pool, ranges)
         if process.has_left:
             ranges = []
         if ranges:
@@ -285,9 +299,10 @@
                     if item.end < key_range.start or item.start > key_range.end
                 ]
                 if key_range.owner != NO_OWNER:
-                    self._pending_grants[
-                        change.pool, key_range.start, key_range.end
-                    ] = key_range.epoch
+                    pending = self._pending_grants.setdefault(key_range.owner, {})
+                    pending[change.pool, key_range.start, key_range.end] = (
+                        key_range.epoch
+                    )
 
     # Load reports.
 
@@ -320,6 +335,8 @@
             plan = self._get_plan(pool)
             plan.loads.decay(now)
             candidates = self._list_candidates(now, pool, table)
+            plan.candidates = candidates
+            plan.candidates_at = now
             commands += self._assign_unowned(now, pool, table, plan, candidates)
             plan.planned_moves = self._plan_moves(pool, table, plan, candidates)
         commands += self._remove_silent_servers(now)
@@ -357,6 +374,27 @@
             plan = self._plans[pool] = _PoolPlan()
         return plan
 
+    def _get_candidates(
+        self, now: float, pool: PoolId, table: KeyTable
+    ) -> dict[ServerId, ServerLoad]:
+        """Returns the candidates of the last decision, or new ones if it is too old.
+
+        Listing them goes through all ranges, which is too slow for each heartbeat.
+        """
+        plan = self._get_plan(pool)
+        if now - plan.candidates_at > MAX_CANDIDATES_AGE:
+            plan.candidates = self._list_candidates(now, pool, table)
+            plan.candidates_at = now
+        usable = {}
+        for server, candidate in plan.candidates.items():
+            record = self._view.servers.get(server)
+            process = self._processes.get(server)
+            if record is None or process is None or process.has_left:
+                continue
+            if self._view.is_in_service(record):
+                usable[server] = candidate
+        return usable
+
     def _list_candidates(
         self, now: float, pool: PoolId, table: KeyTable
     ) -> dict[ServerId, ServerLoad]:
@@ -551,11 +589,10 @@
         )
 
     def _list_pending_owners(self, pool: PoolId) -> set[ServerId]:
-        table = self._view.tables[pool]
         owners = set()
-        for found, start, _ in self._pending_grants:
-            if found == pool:
-                owners.add(table.find(start).owner)
+        for owner, pending in self._pending_grants.items():
+            if any(found == pool for found, _, _ in pending):
+                owners.add(owner)
         return owners
 
     def _start_releases(
@@ -570,7 +607,7 @@
             moves = _list_owned(record, table)
         if not moves:
             return
-        candidates = self._list_candidates(now, record.pool, table)
+        candidates = self._get_candidates(now, record.pool, table)
         source = candidates.pop(record.server, None)
         is_urgent = source is None or (
             source.estimate_marginal_lateness() > MAX_DEFERRED_LATENESS
@@ -589,6 +626,8 @@
             target.utilization += rate * target.cost
             target.key_count += end - start + 1
             target.range_count += 1
+            if source is not None:
+                source.utilization -= rate * source.cost
             if item in plan.planned_moves:
                 plan.planned_moves.remove(item)
             plan.releases.append(
@@ -635,7 +674,7 @@
         if table is None or not heartbeat.freed:
             return []
         plan = self._get_plan(heartbeat.pool)
-        candidates = self._list_candidates(now, heartbeat.pool, table)
+        candidates = self._get_candidates(now, heartbeat.pool, table)
         candidates.pop(heartbeat.server, None)
         rows = []
         for start, end, handover in heartbeat.freed:
@@ -700,14 +739,28 @@
             )
         return rows
 
-    def _confirm_granted(self, pool: PoolId, part: KeyRange) -> None:
-        for key in list(self._pending_grants):
+    def _confirm_granted(
+        self, server: ServerId, pool: PoolId, granted: list[KeyRange]
+    ) -> None:
+        pending = self._pending_grants.get(server)
+        if not pending:
+            return
+        table = self._view.tables[pool]
+        for key, epoch in list(pending.items()):
             found, start, end = key
-            if found != pool or end < part.start or start > part.end:
+            if found != pool:
                 continue
-            epoch = self._pending_grants.pop(key)
-            status = KeyStatus(pool=pool, start=start, end=end, epoch=epoch, ready=True)
-            self._notices.append(status)
+            if table.find(start).epoch != epoch:  # assigned again since
+                del pending[key]
+                continue
+            if any(part.start <= end and start <= part.end for part in granted):
+                del pending[key]
+                status = KeyStatus(
+                    pool=pool, start=start, end=end, epoch=epoch, ready=True
+                )
+                self._notices.append(status)
+        if not pending:
+            del self._pending_grants[server]
 
     def _strip_handover(self, process: _Process, key_range: KeyRange) -> KeyRange:
         if not key_range.handover:
@@ -756,8 +809,8 @@
 
 def _list_owned(record: FleetServer, table: KeyTable) -> list[RangeMove]:
     moves = []
-    for key_range in table.iterate():
-        if key_range.owner == record.server and key_range.born == record.born:
+    for key_range in table.iterate_owned(record.server):
+        if key_range.born == record.born:
             moves.append(
                 RangeMove(
                     start=key_range.start, end=key_range.end, source=record.server
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -45,17 +45,16 @@
 class _KeyBlock:
     """A key range that its owner does not serve yet under an epoch."""
 
-    start: int
-    end: int
     epoch: int
     until: float
 
 
 class KeyBlocks:
-    """Key ranges in handover to a new owner, by pool."""
+    """Key ranges in handover to a new owner, by pool, first and last key."""
 
     def __init__(self):
-        self._blocks: dict[PoolId, list[_KeyBlock]] = {}
+        self._blocks: dict[PoolId, dict[tuple[int, int], _KeyBlock]] = {}
+        self._purge_at = 0.0
 
     def add(
         self,
@@ -68,27 +67,37 @@
         seconds: float = KEY_BLOCK_TIMEOUT,
     ) -> None:
         """Blocks a key range until `clear` or until the time-out."""
-        block = _KeyBlock(start=start, end=end, epoch=epoch, until=now + seconds)
-        kept = [item for item in self._blocks.get(pool, ()) if item.until > now]
-        self._blocks[pool] = [*kept, block]
+        if now >= self._purge_at:
+            self._purge(now)
+        block = _KeyBlock(epoch=epoch, until=now + seconds)
+        self._blocks.setdefault(pool, {})[start, end] = block
 
     def clear(self, pool: PoolId, start: int, end: int, epoch: int) -> None:
         """Removes the blocks within a key range whose epoch is at most this one."""
-        kept = []
-        for block in self._blocks.get(pool, ()):
-            inside = start <= block.start and block.end <= end
-            if not inside or block.epoch > epoch:
-                kept.append(block)
-        self._blocks[pool] = kept
+        blocks = self._blocks.get(pool, {})
+        exact = blocks.get((start, end))
+        if exact is not None and exact.epoch == epoch:
+            # Blocks of earlier epochs have no effect any more.
+            del blocks[start, end]
+            return
+        for first, last in list(blocks):
+            inside = start <= first and last <= end
+            if inside and blocks[first, last].epoch <= epoch:
+                del blocks[first, last]
 
     def is_blocked(self, now: float, pool: PoolId, key: int, epoch: int) -> bool:
         """Returns whether a key is blocked for an epoch of its assignment."""
-        for block in self._blocks.get(pool, ()):
-            if block.start <= key <= block.end and block.epoch == epoch:
-                if now < block.until:
-                    return True
+        for (start, end), block in self._blocks.get(pool, {}).items():
+            if start <= key <= end and block.epoch == epoch and now < block.until:
+                return True
         return False
 
+    def _purge(self, now: float) -> None:
+        self._purge_at = now + KEY_BLOCK_TIMEOUT
+        for blocks in self._blocks.values():
+            for key_range in [k for k, block in blocks.items() if block.until <= now]:
+                del blocks[key_range]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryIdentity:
--- a/tests/test_keyranges.py
+++ b/tests/test_keyranges.py
@@ -1,7 +1,11 @@
+from random import Random
+
 import hypothesis.strategies as st
+import pytest
 from hypothesis import given, settings
 
-from monsoonlug.keyranges import LAST_KEY, KeyRange, KeyTable
+from monsoonlug.ids import SLICE_COUNT
+from monsoonlug.keyranges import LAST_KEY, NO_OWNER, KeyRange, KeyTable
 
 KEYS = st.integers(min_value=0, max_value=LAST_KEY)
 
@@ -43,3 +47,32 @@
     table.assign(KeyRange(start=10, end=19, owner="a", epoch=1))
     table.assign(KeyRange(start=20, end=LAST_KEY, owner="a", epoch=1))
     assert len(table) == 1
+
+
+def test_index_of_owners_follows_every_assignment():
+    """Guards against a lease that lacks a range, or holds one of another server."""
+    random = Random(3)
+    table = KeyTable(pool="p")
+    list(table.iterate_owned("a"))
+    for epoch in range(1, 400):
+        start = random.randrange(SLICE_COUNT)
+        end = min(SLICE_COUNT - 1, start + random.randrange(1, 9_000))
+        owner = random.choice(("a", "b", "c", NO_OWNER))
+        table.assign(KeyRange(start=start, end=end, owner=owner, epoch=epoch // 3))
+        for name in ("a", "b", "c", NO_OWNER):
+            expected = [row for row in table.iterate() if row.owner == name]
+            assert list(table.iterate_owned(name)) == expected
+
+
+def test_first_assignment_replaces_the_whole_table():
+    """Guards against a table with gaps, which would have keys that are never found."""
+    table = KeyTable(pool="p")
+    list(table.iterate_owned("a"))
+    first = KeyRange(start=0, end=99, owner="a", epoch=1)
+    second = KeyRange(start=100, end=LAST_KEY, owner="b", epoch=1)
+    table.assign_all([first, second])
+    assert list(table.iterate_owned("b")) == [second]
+    for wrong in ([second], [first], [second, first], [first, first, second]):
+        with pytest.raises(ValueError):
+            table.assign_all(wrong)
+    assert table.find(50) == first
