Keep processes alive through malformed messages and unexpected errors

Cause: an error other than a damaged frame ended a link for good without a log line, or a periodic task and with it the process; rows of heartbeats were not checked, so a key that is a string would have stopped the decisions of every leader. Change: links log and reconnect with back-off, also after damaged frames; periodic tasks log and run again; rows of heartbeats and key ranges are checked; a replica that fails unexpectedly starts again from its storage.

--- a/src/monsoonlug/daemons.py
+++ b/src/monsoonlug/daemons.py
@@ -1,7 +1,8 @@
 """Base classes of the daemons: background tasks, signals and exit codes."""
 
 import asyncio
-from collections.abc import Coroutine
+import inspect
+from collections.abc import Callable, Coroutine
 
 from mode import Service, Worker
 
@@ -40,6 +41,26 @@
         )
         asyncio.create_task(self.crash(error))
 
+    async def _run_periodically(
+        self, interval: float, step: Callable[[], object]
+    ) -> None:
+        """Calls a function after each interval, until cancelled.
+
+        An unexpected error is logged and costs only one step.
+
+        Args:
+            interval: Seconds between two calls.
+            step: The function; what it returns is awaited if that is possible.
+        """
+        while True:
+            await asyncio.sleep(interval)
+            try:
+                result = step()
+                if inspect.isawaitable(result):
+                    await result
+            except Exception:
+                self._logger.exception("A periodic task failed; it is run again.")
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -186,8 +186,10 @@
         await self._listener.start()
         await self._start_metrics()
         self._spawn(self._group.run())
-        self._spawn(self._run_decisions())
-        self._spawn(self._run_membership_changes())
+        self._spawn(self._run_periodically(DECISION_INTERVAL, self._publisher.decide))
+        self._spawn(
+            self._run_periodically(MEMBERSHIP_CHECK_INTERVAL, self._change_members)
+        )
         logger.info(
             "Control replica {} started at log index {}.",
             settings.stream,
@@ -438,23 +440,16 @@
             return True
         return self._replica.last_response_at(replica) > read_clock() - seconds
 
-    async def _run_membership_changes(self) -> None:
-        while True:
-            await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL)
-            self._links.retain([*self._contacts, *self._replica.refused_identities])
-            if not self._group.is_leader:
-                continue
-            try:
-                change = self._membership_manager.choose_change()
-                if change is not None:
-                    self._group.change_members(change.change, *change.arguments)
-            except (MembershipRefused, NotLeader) as error:
-                logger.info("Did not change the group's members: {}.", error)
-
-    async def _run_decisions(self) -> None:
-        while True:
-            await asyncio.sleep(DECISION_INTERVAL)
-            self._publisher.decide()
+    def _change_members(self) -> None:
+        self._links.retain([*self._contacts, *self._replica.refused_identities])
+        if not self._group.is_leader:
+            return
+        try:
+            change = self._membership_manager.choose_change()
+            if change is not None:
+                self._group.change_members(change.change, *change.arguments)
+        except (MembershipRefused, NotLeader) as error:
+            logger.info("Did not change the group's members: {}.", error)
 
     def _create_task(self, coroutine) -> asyncio.Task:
         return asyncio.get_running_loop().create_task(coroutine)
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -168,8 +168,10 @@
         await self._listen()
         await self._start_metrics()
         self._spawn(self._subscription.run())
-        self._spawn(self._run_failure_detector())
-        self._spawn(self._run_probes())
+        self._spawn(
+            self._run_periodically(CHECK_INTERVAL, self._failure_detector.check_hosts)
+        )
+        self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
     async def on_stop(self) -> None:
@@ -336,12 +338,5 @@
     def _collect_loads(self) -> tuple[list, list]:
         return self._ingress.collect_key_counts(), self._gate_host.list_server_loads()
 
-    async def _run_failure_detector(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL)
-            self._failure_detector.check_hosts()
-
-    async def _run_probes(self) -> None:
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL)
-            await self._gate_host.probe_servers(self._finder.is_own_gate)
+    async def _probe_servers(self) -> None:
+        await self._gate_host.probe_servers(self._finder.is_own_gate)
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -1,11 +1,14 @@
 """Commands, view changes and stream messages of an announced fleet."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from monsoonlug import messages
 from monsoonlug.exceptions import DamagedFrame
 from monsoonlug.ids import SLICE_COUNT, Epoch, FailureDomain, PoolId, ServerId
-from monsoonlug.keyranges import KeyRange
+from monsoonlug.keyranges import LAST_KEY, KeyRange
+
+MAX_REPORTED_NUMBER = 1_000_000_000  # in a row of an entry's heartbeat
 
 # Changes of the view.
 
@@ -311,6 +314,47 @@
     members: list
 
 
+_NUMBER = (int, float)
+
+
+def check_heartbeat(heartbeat: FleetHeartbeat) -> None:
+    """Checks the rows of a heartbeat, which decoding leaves unchecked.
+
+    Raises:
+        DamagedFrame: If a row is malformed.
+    """
+    _check_rows("loads", heartbeat.loads, (str, int, int))
+    if any(key > LAST_KEY for _, key, _ in heartbeat.loads):
+        raise DamagedFrame(f"a row of loads has a key above {LAST_KEY}")
+    _check_rows("servers", heartbeat.servers, (str, _NUMBER, _NUMBER, _NUMBER))
+    check_wanted_tokens(heartbeat.wanted)
+
+
+def check_wanted_tokens(wanted: dict) -> None:
+    """Checks the tokens that an entry requests.
+
+    Raises:
+        DamagedFrame: If a workspace or a row is malformed.
+    """
+    if not all(isinstance(workspace, str) for workspace in wanted):
+        raise DamagedFrame("a workspace in wanted is not a string")
+    # The share is -1 if it is unknown.
+    _check_rows("wanted", wanted.values(), (int, int, _NUMBER), minimum=-1)
+
+
+def _check_rows(name: str, rows: Iterable, types: tuple, *, minimum: int = 0) -> None:
+    for row in rows:
+        if not isinstance(row, list) or len(row) != len(types):
+            raise DamagedFrame(f"a row of {name} does not have {len(types)} values")
+        for value, expected in zip(row, types, strict=True):
+            if not isinstance(value, expected) or isinstance(value, bool):
+                raise DamagedFrame(
+                    f"a row of {name} has a value of type {type(value).__name__}"
+                )
+            if expected is not str and not minimum <= value <= MAX_REPORTED_NUMBER:
+                raise DamagedFrame(f"a row of {name} has the value {value}")
+
+
 def covers_all_keys(change: KeysAssigned) -> bool:
     """Returns whether an assignment covers all keys, as the first one of a pool does.
 
@@ -332,11 +376,14 @@
     """
     try:
         start, end, owner, born, epoch, handover = row
+        is_valid = 0 <= start <= end < SLICE_COUNT and epoch >= 0 and born >= 0
     except (TypeError, ValueError) as error:
         raise DamagedFrame(
             f"{row!r} is not a key range: expected start, end, owner, born, epoch and "
             "handover"
         ) from error
+    if not is_valid or not isinstance(owner, str) or not isinstance(handover, str):
+        raise DamagedFrame(f"{row!r} is not a key range: a value is out of range")
     return KeyRange(
         start=start,
         end=end,
--- a/src/monsoonlug/group.py
+++ b/src/monsoonlug/group.py
@@ -26,7 +26,7 @@
 )
 from monsoonlug.ids import ReplicaId
 from monsoonlug.links import Link
-from monsoonlug.logs import get_logger
+from monsoonlug.logs import describe_exception, get_logger
 from monsoonlug.membership import Members
 from monsoonlug.peer_messages import AppendRequest
 from monsoonlug.state import ControlState
@@ -235,11 +235,22 @@
 
     @contextmanager
     def _halting_on_failure(self) -> Iterator[None]:
-        """Halts the replica if its storage fails within the block."""
+        """Halts the replica if its storage fails within the block.
+
+        After any other unexpected error, its memory may differ from its storage. It is
+        halted then, too, and starts again from the storage.
+        """
         try:
             yield
         except SyncFailed as error:
             self._halt(error)
+        except MonsoonlugError:
+            raise
+        except Exception as error:
+            if self._reopen is None:
+                raise
+            logger.exception("The replica failed.")
+            self._halt(SyncFailed(describe_exception(error)))
 
     def _halt(self, error: SyncFailed) -> None:
         logger.error(
--- a/src/monsoonlug/links.py
+++ b/src/monsoonlug/links.py
@@ -84,12 +84,19 @@
             except (OSError, StreamClosed, TimeoutError):
                 delay = min(MAX_RECONNECT_DELAY, delay * 2)
             except DamagedFrame as error:
+                delay = min(MAX_RECONNECT_DELAY, delay * 2)
                 self.damaged_frames += 1
                 logger.warning(
                     "Closed the stream to {} after a damaged frame: {}.",
                     self.address,
                     error,
                 )
+            except Exception:
+                # A message that its handler cannot process must not end the link.
+                delay = min(MAX_RECONNECT_DELAY, delay * 2)
+                logger.exception(
+                    "Closed the stream to {} after an unexpected error.", self.address
+                )
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
 
     async def _run_stream(self) -> None:
@@ -158,13 +165,17 @@
         try:
             await stream.handshake(role=self._role, sender=self._sender)
             await self._serve(stream)
-        except StreamClosed:
-            pass
+        except StreamClosed as error:
+            logger.debug("An incoming stream ended: {}.", error)
         except DamagedFrame as error:
             self.damaged_frames += 1
             logger.warning(
                 "Closed an incoming stream after a damaged frame: {}.", error
             )
+        except Exception:
+            logger.exception(
+                "Closed the stream from {} after an unexpected error.", stream.peer
+            )
         finally:
             self._open.discard(stream)
             stream.close()
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -25,6 +25,8 @@
     KeyStatus,
     KeyStatusBatch,
     LiveHostList,
+    check_heartbeat,
+    check_wanted_tokens,
 )
 from monsoonlug.ids import HostId, PoolId, ServerId, WorkspaceId
 from monsoonlug.items import Item
@@ -219,8 +221,10 @@
             return
         match message:
             case FleetHeartbeat():
+                check_heartbeat(message)
                 self._handle_heartbeat(subscriber, message)
             case FleetTokenRequest():
+                check_wanted_tokens(message.wanted)
                 # Without a recent majority, a deposed leader could grant tokens at the
                 # same time as its successor.
                 age = self._clock() - self.group.replica.confirmed_at()
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -201,7 +201,10 @@
         self._update_links()
         try:
             while True:
-                self._send_heartbeat()
+                try:
+                    self._send_heartbeat()
+                except Exception:
+                    logger.exception("A heartbeat was not sent.")
                 pause = HEARTBEAT_INTERVAL if self._leader else LEADER_SEARCH_INTERVAL
                 self._heartbeat_due.clear()
                 try:
