Take no copy of a response without its id, nor a joined head, for a response

Cause: a late second copy without the echoed id was taken for the response to the next request on the connection, and a copy of a refusal made a request that ran look refused; a copy cut in its head was joined with the next response. Change: on the platform, where every response echoes the id, one without it leaves the outcome unknown; a head that contains a status line is rejected.

--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -84,6 +84,9 @@
     """
 
     slowdown = 1.0
+    # Whether a response without a request id cannot be the response to a request that
+    # has one. It may be a copy of an earlier response.
+    always_echoes_id = False
     accepts_close_delimited = False  # whether the end of the connection may end a body
     request_id_header = "X-Request-Id"
     private_headers = ROUTER_HEADERS  # of responses, not forwarded to callers
@@ -243,9 +246,13 @@
     ) -> None:
         self.handle_response_head(response)
         echoed = response.headers.getall(self.request_id_header, [])
-        if echoed and echoed != [self.get_echoed_id(request)]:
+        expected = self.get_echoed_id(request)
+        if echoed and echoed != [expected]:
             self.mismatched_responses += 1
             raise OutcomeUnknown("the response carries the id of another request")
+        if not echoed and expected and self.always_echoes_id:
+            self.mismatched_responses += 1
+            raise OutcomeUnknown("the response carries no request id")
         await self.check_refusal(response)
         if response.status < 200:
             raise OutcomeUnknown(f"unexpected informational status {response.status}")
--- a/src/monsoonlug/http_connections.py
+++ b/src/monsoonlug/http_connections.py
@@ -2,16 +2,19 @@
 
 import functools
 import math
+import re
 import time
 from collections.abc import Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
 
 from monsoonlug.exceptions import LeaseOver
 from monsoonlug.streams import set_user_timeout
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 UNACKED_TIMEOUT_MS = 2_000  # for sent data without a TCP acknowledgement
 
 
@@ -89,6 +92,13 @@
         return protocol
 
 
+def _contains_status_line(message: RawResponseMessage) -> bool:
+    """Returns whether a response was cut off in its head and another one follows."""
+    if _STATUS_LINE.search(message.reason.encode()):
+        return True
+    return any(_STATUS_LINE.search(value) for _, value in message.raw_headers)
+
+
 class CheckedResponse(aiohttp.ClientResponse):
     """Skips responses that carry the id of another request."""
 
@@ -103,6 +113,8 @@
                 message, payload = await protocol.read()
             except HttpProcessingError as error:
                 raise aiohttp.ClientPayloadError("invalid HTTP response") from error
+            if _contains_status_line(message):
+                raise aiohttp.ClientPayloadError("head joined from two responses")
             echoed = message.headers.get(self.request_id_header)
             if message.code < 200 or echoed is None or echoed == sent:
                 # Put the response back, for aiohttp to read it.
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -74,6 +74,7 @@
 class PlatformBackend(HttpBackend):
     """HTTP client of one backend server of the platform."""
 
+    always_echoes_id = True
     accepts_close_delimited = True
     request_id_header = REQUEST_ID_HEADER
     private_headers = frozenset({SERVER_LOAD_HEADER.lower()})
