Run the daemons on uvloop, batch by fleet size, keep sparse ranges in place

Change: uvloop as the event loop; messages to all entries wait 0.6 ms for each entry, at most 120 ms; ranges with fewer requests per key than the pool's mean do not move.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -35,6 +35,7 @@
 MIN_MARGINAL_GAP = 0.15  # in marginal lateness, between source and target
 MIN_KEY_MOVE_GAIN = 0.15  # of the source's utilization, saved by moving one hot key
 MIN_MOVE_RATE = 0.5  # requests per second
+MIN_DENSITY_RATIO = 1.0  # of the pool's mean requests for each key
 MAX_MOVES_PER_SOURCE = 8  # ranges that one server releases at a time
 BISECTION_STEPS = 16
 
@@ -117,6 +118,11 @@
         self.rates = _decay_rates(self.rates, factor, MIN_KEY_RATE)
         self._sorted = None
 
+    @property
+    def total(self) -> float:
+        """Summed rate of all keys, without the recent rates of hot keys."""
+        return sum(self.rates.values())
+
     def get_rate(self, key: int) -> float:
         """Returns the rate of a measured key."""
         recent = self._recent.get(key, 0.0)
@@ -331,14 +337,17 @@
 ) -> list[RangeMove]:
     """Returns ranges, or parts of them, with up to the wanted rate.
 
-    Ranges with many requests for each key come first, as fewer keys then change hands.
+    Ranges with many requests for each key come first, as fewer keys then change hands,
+    and those with less than the pool's mean are kept.
     A part starts or ends where its range does, so that no range is split into three.
     """
     busy = []
+    mean_density = loads.total / SLICE_COUNT
     for key_range in ranges:
         rate = loads.sum_between(key_range.start, key_range.end)
-        if rate >= MIN_MOVE_RATE:
-            busy.append((rate / key_range.size, rate, key_range))
+        density = rate / key_range.size
+        if rate >= MIN_MOVE_RATE and density >= MIN_DENSITY_RATIO * mean_density:
+            busy.append((density, rate, key_range))
     busy.sort(key=lambda row: (-row[0], row[2].start))
     moves: list[RangeMove] = []
     for _, rate, key_range in busy:
--- a/src/monsoonlug/daemons.py
+++ b/src/monsoonlug/daemons.py
@@ -4,6 +4,7 @@
 import inspect
 from collections.abc import Callable, Coroutine
 
+import uvloop
 from mode import Service, Worker
 
 from monsoonlug.exceptions import MonsoonlugError
@@ -75,7 +76,7 @@
     """
 
     def __init__(self, service: Service):
-        loop = asyncio.new_event_loop()
+        loop = uvloop.new_event_loop()
         asyncio.set_event_loop(loop)
         super().__init__(
             service, loop=loop, override_logging=False, redirect_stdouts=False
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -41,10 +41,10 @@
 MAX_UNSENT_BYTES = 4 * 1_048_576  # queued for a slow entry
 VIEW_CHUNK_BYTES = 262_144  # in one `FleetViewChunk`
 ENTRY_TIMEOUT = 1.6  # seconds without a heartbeat until an entry is not live
-# Seconds for which deltas are batched. Each message costs every entry the same,
-# whatever its size.
-DELTA_BATCH_DELAY = 0.030
-READY_BATCH_DELAY = 0.050  # seconds for which `KeyStatus` with `ready` are batched
+DELTA_BATCH_DELAY = 0.030  # seconds for which deltas are batched at least
+READY_BATCH_DELAY = 0.050  # seconds; the same for `KeyStatus` with `ready`
+BATCH_DELAY_PER_ENTRY = 0.0006  # seconds
+MAX_BATCH_DELAY = 0.120  # seconds
 MAX_CONFIRMATION_AGE = 0.3  # seconds since a confirmed round, to grant tokens
 HOST_LIST_DELAY = 0.6  # seconds after an election, for entries to send heartbeats
 
@@ -107,7 +107,8 @@
                 continue
             if not self._ready_batch:
                 loop = asyncio.get_running_loop()
-                loop.call_later(READY_BATCH_DELAY, self._send_ready)
+                delay = self._get_batch_delay(READY_BATCH_DELAY)
+                loop.call_later(delay, self._send_ready)
             self._ready_batch.append(notice)
         self._send_notices(urgent)
 
@@ -172,7 +173,16 @@
                 )
         if self._flush_timer is None and self._subscribers:
             loop = asyncio.get_running_loop()
-            self._flush_timer = loop.call_later(DELTA_BATCH_DELAY, self._flush_deltas)
+            delay = self._get_batch_delay(DELTA_BATCH_DELAY)
+            self._flush_timer = loop.call_later(delay, self._flush_deltas)
+
+    def _get_batch_delay(self, shortest: float) -> float:
+        """Returns the seconds for which messages to all entries are batched.
+
+        The work that a message causes grows with the number of entries.
+        """
+        needed = BATCH_DELAY_PER_ENTRY * len(self._subscribers)
+        return max(shortest, min(needed, MAX_BATCH_DELAY))
 
     def _flush_deltas(self) -> None:
         """Sends the deltas of the last commits to all entries, as one message."""
