Apply an assignment of all keys whose ranges are not in order

Cause: since the first assignment replaces the table in one step, any command that covers all keys had to be in key order; a server that owns all keys and reports its released ranges in another order would have led to a committed command that no replica can apply. Change: only ranges in order are applied in one step, all others one by one as before. Measured: the new test raised DamagedFrame before and passes after.

--- a/src/monsoonlug/fleet.py
+++ b/src/monsoonlug/fleet.py
@@ -24,13 +24,12 @@
     PutServer,
     RemoveServer,
     ServerRemoved,
-    covers_all_keys,
     pack_range,
     read_range,
 )
 from monsoonlug.ids import Epoch, FailureDomain, PoolId, Revision, ServerId
 from monsoonlug.items import Item, ItemKind, ItemRemoved, ItemTable, get_kind
-from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
+from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable, are_contiguous
 from monsoonlug.state_machine import StateMachine
 
 
@@ -117,11 +116,8 @@
     def _assign_keys(self, change: KeysAssigned) -> None:
         table = self.tables[change.pool]
         ranges = [read_range(row) for row in change.rows]
-        if covers_all_keys(change):
-            try:
-                table.assign_all(ranges)
-            except ValueError as error:
-                raise DamagedFrame(f"keys of {change.pool}: {error}") from error
+        if are_contiguous(ranges):
+            table.assign_all(ranges)
             return
         for key_range in ranges:
             table.assign(key_range)
--- a/src/monsoonlug/keyranges.py
+++ b/src/monsoonlug/keyranges.py
@@ -135,13 +135,22 @@
         Raises:
             ValueError: If the ranges have gaps or overlap.
         """
-        next_start = 0
-        for key_range in ranges:
-            if key_range.start != next_start or key_range.end < next_start:
-                raise ValueError(f"range starts at {key_range.start}, not {next_start}")
-            next_start = key_range.end + 1
-        if next_start != SLICE_COUNT:
-            raise ValueError(f"ranges end at {next_start - 1}, not {LAST_KEY}")
+        if not are_contiguous(ranges):
+            raise ValueError("the ranges have gaps, overlap or are out of order")
         self._ranges = list(ranges)
         self._starts = [key_range.start for key_range in ranges]
         self._starts_by_owner = None
+
+
+def are_contiguous(ranges: list[KeyRange]) -> bool:
+    """Returns whether ranges cover all keys in order, without gaps.
+
+    >>> are_contiguous([KeyRange(start=0, end=9), KeyRange(start=10, end=LAST_KEY)])
+    True
+    """
+    next_start = 0
+    for key_range in ranges:
+        if key_range.start != next_start or key_range.end < next_start:
+            return False
+        next_start = key_range.end + 1
+    return next_start == SLICE_COUNT
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -148,3 +148,19 @@
     from monsoonlug.items import ItemKind
 
     return ItemKind.ROUTE
+
+
+def test_all_keys_may_be_assigned_in_any_order(fleet):
+    """Guards against a committed command that no replica can apply.
+
+    A server that owns all keys reports its released ranges in an order of its own.
+    """
+    rows = [
+        pack_range(KeyRange(start=start, end=end, owner="s1", born=1))
+        for start, end in ((40_000, 65_535), (0, 99), (100, 39_999))
+    ]
+    fleet.apply(AssignKeys(pool="desk", rows=rows))
+    for view in (fleet.state.view, fleet.view):
+        table = view.tables["desk"]
+        assert {row.owner for row in table.iterate()} == {"s1"}
+        assert table.find(50).epoch == fleet.index
