Share what the change had written twice, and compute it once

Cause: the last read of the change. The end of an opening stream, the back-off of a link and the index of owners stood twice or more; the density limit was summed over all keys for each source of a tick; a chain of conditional expressions chose the text of a log line; a halted replica blamed its data folder for any error. No decision, bound or test changed.

--- a/src/monsoonlug/balancing.py
+++ b/src/monsoonlug/balancing.py
@@ -187,12 +187,11 @@
         units[name] = replace(item, cost=item.latency_factor / item.slots)
     capacity = sum(1 / item.cost for item in units.values())
     rates = plan_rates(units, INITIAL_UTILIZATION * capacity)
+    total = sum(rates.values())
+    range_count = min(RANGES_PER_SERVER * len(servers), MAX_RANGES_PER_POOL)
     counts = {}
     for name, rate in rates.items():
-        share = rate / sum(rates.values())
-        count = round(
-            share * min(RANGES_PER_SERVER * len(servers), MAX_RANGES_PER_POOL)
-        )
+        count = round(rate / total * range_count)
         counts[name] = min(max(count, MIN_INITIAL_RANGES), MAX_INITIAL_RANGES)
     return counts
 
@@ -296,6 +295,7 @@
         name: item.estimate_marginal_lateness() for name, item in costed.items()
     }
     room = {name: -value for name, value in excess.items() if value < 0}
+    min_density = MIN_DENSITY_RATIO * loads.total / SLICE_COUNT
     moves: list[RangeMove] = []
     sources = 0
     for source in sorted(excess, key=lambda name: (-marginals[name], name)):
@@ -312,7 +312,7 @@
         if hot_key is not None and hot_key.rate >= HOT_KEY_SHARE * rates[source]:
             found = [hot_key]
         else:
-            found = _find_range_parts(key_ranges, loads, wanted, source)
+            found = _find_range_parts(key_ranges, loads, wanted, min_density, source)
         if not found:
             continue
         sources += 1
@@ -333,20 +333,23 @@
 
 
 def _find_range_parts(
-    ranges: list[KeyRange], loads: KeyLoads, wanted: float, source: ServerId
+    ranges: list[KeyRange],
+    loads: KeyLoads,
+    wanted: float,
+    min_density: float,
+    source: ServerId,
 ) -> list[RangeMove]:
     """Returns ranges, or parts of them, with up to the wanted rate.
 
     Ranges with many requests for each key come first, as fewer keys then change hands,
-    and those with less than the pool's mean are kept.
+    and those with less than `min_density` requests per second and key are kept.
     A part starts or ends where its range does, so that no range is split into three.
     """
     busy = []
-    mean_density = loads.total / SLICE_COUNT
     for key_range in ranges:
         rate = loads.sum_between(key_range.start, key_range.end)
         density = rate / key_range.size
-        if rate >= MIN_MOVE_RATE and density >= MIN_DENSITY_RATIO * mean_density:
+        if rate >= MIN_MOVE_RATE and density >= min_density:
             busy.append((density, rate, key_range))
     busy.sort(key=lambda row: (-row[0], row[2].start))
     moves: list[RangeMove] = []
--- a/src/monsoonlug/group.py
+++ b/src/monsoonlug/group.py
@@ -254,8 +254,7 @@
 
     def _halt(self, error: SyncFailed) -> None:
         logger.error(
-            "Stopped taking part in the group in term {} at log index {}, as the data "
-            "folder failed: {}.",
+            "Stopped taking part in the group in term {} at log index {}: {}.",
             self.replica.term,
             self.replica.commit_index,
             error,
--- a/src/monsoonlug/host_links.py
+++ b/src/monsoonlug/host_links.py
@@ -157,14 +157,16 @@
 
     def _open(self, host: HostId) -> None:
         self._on_open(host, LinkPeer(link=self._links[host]))
-        opening = self._opening.pop(host, None)
-        if opening is not None:
-            opening.set()
+        self._end_opening(host)
 
     def _remove(self, host: HostId) -> None:
         del self._links[host]
         del self._added_at[host]
+        self._end_opening(host)
+        self._tasks.pop(host).cancel()
+
+    def _end_opening(self, host: HostId) -> None:
+        """Wakes the requests that wait for a stream to open."""
         opening = self._opening.pop(host, None)
         if opening is not None:
             opening.set()
-        self._tasks.pop(host).cancel()
--- a/src/monsoonlug/keyranges.py
+++ b/src/monsoonlug/keyranges.py
@@ -86,9 +86,7 @@
         """Yields the ranges of an owner in key order."""
         if self._starts_by_owner is None:
             self._starts_by_owner = {}
-            for key_range in self._ranges:
-                owned = self._starts_by_owner.setdefault(key_range.owner, set())
-                owned.add(key_range.start)
+            self._add_to_index(self._ranges)
         for start in sorted(self._starts_by_owner.get(owner, ())):
             yield self.find(start)
 
@@ -120,12 +118,15 @@
         if self._starts_by_owner is not None:
             for key_range in self._ranges[first : last + 1]:
                 self._starts_by_owner[key_range.owner].discard(key_range.start)
-            for key_range in pieces:
-                owned = self._starts_by_owner.setdefault(key_range.owner, set())
-                owned.add(key_range.start)
+            self._add_to_index(pieces)
         self._ranges[first : last + 1] = pieces
         self._starts[first : last + 1] = [piece.start for piece in pieces]
 
+    def _add_to_index(self, ranges: list[KeyRange]) -> None:
+        for key_range in ranges:
+            owned = self._starts_by_owner.setdefault(key_range.owner, set())
+            owned.add(key_range.start)
+
     def assign_all(self, ranges: list[KeyRange]) -> None:
         """Replaces the ownership of all keys.
 
--- a/src/monsoonlug/links.py
+++ b/src/monsoonlug/links.py
@@ -78,13 +78,15 @@
         """Connects, delivers messages, and reconnects, until cancelled."""
         delay = MIN_RECONNECT_DELAY
         while True:
+            delay_after_error = min(MAX_RECONNECT_DELAY, delay * 2)
             try:
                 await self._run_stream()
                 delay = MIN_RECONNECT_DELAY
-            except (OSError, StreamClosed, TimeoutError):
-                delay = min(MAX_RECONNECT_DELAY, delay * 2)
+            except (OSError, StreamClosed, TimeoutError) as error:
+                delay = delay_after_error
+                logger.debug("No stream to {}: {!r}.", self.address, error)
             except DamagedFrame as error:
-                delay = min(MAX_RECONNECT_DELAY, delay * 2)
+                delay = delay_after_error
                 self.damaged_frames += 1
                 logger.warning(
                     "Closed the stream to {} after a damaged frame: {}.",
@@ -93,7 +95,7 @@
                 )
             except Exception:
                 # A message that its handler cannot process must not end the link.
-                delay = min(MAX_RECONNECT_DELAY, delay * 2)
+                delay = delay_after_error
                 logger.exception(
                     "Closed the stream to {} after an unexpected error.", self.address
                 )
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -782,20 +782,21 @@
 
 
 def _log_change(record: FleetServer | None, updated: FleetServer) -> None:
-    is_restarted = record is not None and record.born != updated.born
+    if updated.draining:
+        change = "is leaving"
+    elif record is None:
+        change = "is registered"
+    elif record.born != updated.born:
+        change = "was restarted"
+    else:
+        change = "changed its record"
     logger.info(
         "Backend server {} of pool {} at {}, started at {} ms, {}.",
         updated.server,
         updated.pool,
         updated.address,
         updated.born,
-        "is leaving"
-        if updated.draining
-        else "was restarted"
-        if is_restarted
-        else "changed its record"
-        if record is not None
-        else "is registered",
+        change,
     )
 
 
