Log the request limit that a backend server names

Change: the client of a server reads the limit from each response that carries the request's id; the gate logs when it appears, changes or ends, and a gauge counts the servers with one. Responses with a foreign id no longer change the Keep-Alive time-out or the slowdown. What is sent does not change.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -115,9 +115,12 @@
     Attributes:
         slowdown: Current service time on the server's machine relative to normal, from
             its last response; 1 if it does not report any.
+        request_limit: Requests per second that the server accepts from all hosts
+            together, from its last response; None if it names no limit.
     """
 
     slowdown: float = 1.0
+    request_limit: float | None = None
 
     @abstractmethod
     async def send(
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -243,6 +243,11 @@
         add_gauge = self._metrics.add_gauge
         add_gauge("running", "Requests of callers.", lambda: self._ingress.running)
         add_gauge("at_servers", "Requests at servers.", lambda: self._gate_host.running)
+        add_gauge(
+            "limited_servers",
+            "Servers at gates that limit their requests.",
+            lambda: self._gate_host.limited_servers,
+        )
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
 import xxhash
 
@@ -188,6 +189,7 @@
         self._models: dict[PoolId, ServiceTimeModel] = {}
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
+        self._request_limits: dict[ServerId, float] = {}
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
         self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
@@ -199,6 +201,11 @@
         """Number of requests that were sent and have not ended."""
         return len(self._running)
 
+    @property
+    def limited_servers(self) -> int:
+        """Number of servers that limit the requests that they accept."""
+        return len(self._request_limits)
+
     @property
     def queued(self) -> int:
         """Number of waiting requests at all gates."""
@@ -215,6 +222,7 @@
             if existing is not None and existing.born == record.born:
                 continue
             del self._backends[server]
+            self._request_limits.pop(server, None)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
             task.add_done_callback(self._close_tasks.discard)
@@ -426,6 +434,7 @@
             del self._running[request.request_id]
             existing = self._backends.get(server)
             slowdown = existing[1].slowdown if existing is not None else 1.0
+            self._update_request_limit(server)
             queue.finish(
                 self._clock(), request.request_id, server, outcome, slowdown=slowdown
             )
@@ -442,7 +451,26 @@
 
         is_pooled = head.slice == POOLED
         backend = self._get_backend(server)
-        await job.run(backend, estimate_latency=estimate_latency if is_pooled else None)
+        await job.run(
+            backend,
+            estimate_latency=estimate_latency if is_pooled else None,
+            on_head=partial(self._update_request_limit, server),
+        )
+
+    def _update_request_limit(self, server: ServerId) -> None:
+        """Records the request limit that a server's last response names."""
+        existing = self._backends.get(server)
+        if existing is None:
+            return
+        limit = existing[1].request_limit
+        if limit == self._request_limits.get(server):
+            return
+        if limit is None:
+            del self._request_limits[server]
+            logger.info("Server {} no longer limits its requests.", server)
+            return
+        self._request_limits[server] = limit
+        logger.info("Server {} accepts {} requests per second.", server, limit)
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
         existing = self._backends.get(server)
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -84,6 +84,7 @@
     """
 
     slowdown = 1.0
+    request_limit: float | None = None
     # Whether a response without a request id cannot be the response to a request that
     # has one. It may be a copy of an earlier response.
     always_echoes_id = False
@@ -223,7 +224,7 @@
             raise BackendFenced()
 
     def handle_response_head(self, response: aiohttp.ClientResponse) -> None:
-        """Reads the Keep-Alive timeout from the head of a response."""
+        """Reads what a response to one of our requests tells about the server."""
         match = _KEEP_ALIVE.search(response.headers.get("Keep-Alive", ""))
         if match is not None:
             self._max_idle = KEEPALIVE_TIMEOUT_SHARE * int(match.group(1))
@@ -244,7 +245,6 @@
     async def _check_head(
         self, request: BackendRequest, response: aiohttp.ClientResponse
     ) -> None:
-        self.handle_response_head(response)
         echoed = response.headers.getall(self.request_id_header, [])
         expected = self.get_echoed_id(request)
         if echoed and echoed != [expected]:
@@ -253,6 +253,7 @@
         if not echoed and expected and self.always_echoes_id:
             self.mismatched_responses += 1
             raise OutcomeUnknown("the response carries no request id")
+        self.handle_response_head(response)
         await self.check_refusal(response)
         if response.status < 200:
             raise OutcomeUnknown(f"unexpected informational status {response.status}")
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -144,6 +144,7 @@
         backend: BackendProtocol,
         *,
         estimate_latency: Callable[[], float] | None = None,
+        on_head: Callable[[], None] = lambda: None,
     ) -> None:
         """Sends the request to its server and relays the response.
 
@@ -152,6 +153,7 @@
             estimate_latency: Returns the predicted seconds until the response to a new
                 request; called when the response head arrives. None if the prediction
                 is not sent to the caller's host.
+            on_head: Called when the response head has arrived.
 
         Raises:
             MonsoonlugError: If there is no response, or only a part of it.
@@ -172,6 +174,7 @@
         )
         body = self.iterate_body() if head.has_body else None
         response = await backend.send(message, body)
+        on_head()
         try:
             body = response.read_whole(MAX_CHUNK_BYTES)
             wait = estimate_latency() if estimate_latency is not None else 0.0
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -22,14 +22,18 @@
 WORKSPACE_HEADER = "X-Monsoonlug-Tenant-Id"
 NOT_RUN_HEADER = "X-Monsoonlug-Not-Executed"
 SERVER_LOAD_HEADER = "X-Monsoonlug-Server-Load"
+# Requests per second that the server accepts from all hosts together.
+REQUEST_LIMIT_HEADERS = ("X-Monsoonlug-Server-Limit", "Server-Limit")
 MISDIRECTED_STATUS = 421  # also sent by a server that does not hold the routing key
 
 CONNECT_TIMEOUT = 0.3  # seconds; opening a connection takes about 1 ms
 MIN_WORK_TIME_PERCENT = 10  # of the usual; lower reported values are implausible
+MIN_REQUEST_LIMIT = 0.1  # requests per second; lower limits would stop all service
 MAX_IDLE_TIME = 0.4  # seconds; servers may drop an idle connection without notice
 
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,100}")
 _NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
+_DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _SINGLE_VALUED_HEADERS = (
     REQUEST_ID_HEADER.lower(),
     DEADLINE_HEADER.lower(),
@@ -89,9 +93,19 @@
         return headers
 
     def handle_response_head(self, response: aiohttp.ClientResponse) -> None:
-        """Updates the slowdown from a response's headers; see `HttpBackend`."""
+        """Updates the slowdown and the request limit; see `HttpBackend`."""
         super().handle_response_head(response)
         self.slowdown = self.read_slowdown(response) or self.slowdown
+        self.request_limit = self._read_request_limit(response)
+
+    def _read_request_limit(self, response: aiohttp.ClientResponse) -> float | None:
+        for name in REQUEST_LIMIT_HEADERS:
+            text = response.headers.get(name, "").strip()
+            if _DECIMAL_PATTERN.fullmatch(text):
+                return max(float(text), MIN_REQUEST_LIMIT)
+            if text:  # An unreadable value does not lift the last limit.
+                return self.request_limit
+        return None
 
     def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
         """Reads the slowdown of the server's machine; see `HttpBackend`."""
