Apply the request limit that a backend server names at its gate

Callers of that server got slow answers instead of a refusal with a time to return.

Cause: the router did not know of request limits. The header passed through to callers like any other, and gates sent as much as the slots allow. Class of fault: a bound that a server states and no sender reads. The other bounds that servers state (slots, connections, cold start, Keep-Alive) are read.

Change: each send to a limited server goes through a limiter (generic cell rate algorithm, burst 2), kept for the whole host, so that a server that moves between two gates of a host keeps its schedule.

Four tests in virtual time cover bursts, falling and lifted limits, and pools without keys.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -45,6 +45,7 @@
 from monsoonlug.jobs import POOLED, Job, JobTable
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import RequestHead
+from monsoonlug.request_limits import RequestLimits
 from monsoonlug.serverqueue import ServerQueue, ServiceTimeModel
 
 # Servers of a pool without keys that share one gate. Responses of 5 KB from eight busy
@@ -189,7 +190,7 @@
         self._models: dict[PoolId, ServiceTimeModel] = {}
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
-        self._request_limits: dict[ServerId, float] = {}
+        self._request_limits = RequestLimits()
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
         self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
@@ -222,7 +223,7 @@
             if existing is not None and existing.born == record.born:
                 continue
             del self._backends[server]
-            self._request_limits.pop(server, None)
+            self._request_limits.remove(server)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
             task.add_done_callback(self._close_tasks.discard)
@@ -362,7 +363,7 @@
             return None
         gate, _ = self._gates[name]
         model = self._models.setdefault(gate.pool, ServiceTimeModel())
-        self._queues[name] = ServerQueue(model=model)
+        self._queues[name] = ServerQueue(model=model, limits=self._request_limits)
         self._sync_servers(name)
         logger.info("Started to serve gate {}.", name)
         return self._queues[name]
@@ -463,13 +464,11 @@
         if existing is None:
             return
         limit = existing[1].request_limit
-        if limit == self._request_limits.get(server):
+        if not self._request_limits.set_limit(server, limit):
             return
         if limit is None:
-            del self._request_limits[server]
             logger.info("Server {} no longer limits its requests.", server)
             return
-        self._request_limits[server] = limit
         logger.info("Server {} accepts {} requests per second.", server, limit)
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -24,6 +24,7 @@
 from monsoonlug.fairness import FairQueue, QueuedRequest
 from monsoonlug.gate import Outcome, RefusedRequest
 from monsoonlug.ids import RequestClass, RequestId, ServerId
+from monsoonlug.request_limits import RequestLimits
 
 RESPONSE_DELIVERY_TIME = 0.015  # seconds from the server's response to the caller
 DEFAULT_SERVICE_TIME = 0.150  # seconds, assumed before the first response of a route
@@ -172,11 +173,13 @@
         arrivals: Arrival time and expected service time of recent requests that only
             this server may run.
         speed: Measured service times.
+        limits: Request limits of all servers of this host.
     """
 
     name: ServerId
     slots: int
     cold_rate: float
+    limits: RequestLimits
     cold_until: float = 0.0
     closed_at: float = math.inf
     unreachable_until: float = 0.0
@@ -198,7 +201,29 @@
             return False
         if now < self.unreachable_until:
             return False
-        return not self.is_cold(now) or now >= self.next_cold_send
+        return now >= self.find_next_send(now)
+
+    def find_next_send(self, now: float) -> float:
+        """Returns from when on the server's rates allow another request."""
+        limiter = self.limits.find(self.name)
+        at = limiter.next_send if limiter is not None else -math.inf
+        return max(at, self.next_cold_send) if self.is_cold(now) else at
+
+    def estimate_send_delay(self, now: float, count: float) -> float:
+        """Returns the seconds until the server's rates allow a request.
+
+        Args:
+            now: Seconds of a monotonic clock.
+            count: Number of requests that are sent before.
+        """
+        delay = 0.0
+        if self.is_cold(now) and self.cold_rate > 0:
+            interval = 1 / (self.cold_rate * COLD_RATE_FACTOR)
+            delay = self.next_cold_send - now + count * interval
+        limiter = self.limits.find(self.name)
+        if limiter is not None:
+            delay = max(delay, limiter.estimate_delay(now, count))
+        return delay
 
     def get_slowdown(self, now: float) -> float:
         if now - self.slowdown_reported_at > SLOWDOWN_TTL:
@@ -206,6 +231,9 @@
         return self.slowdown
 
     def record_send(self, now: float) -> None:
+        limiter = self.limits.find(self.name)
+        if limiter is not None:
+            limiter.record_send(now)
         if self.is_cold(now) and self.cold_rate > 0:
             spacing = 1 / (self.cold_rate * COLD_RATE_FACTOR)
             self.next_cold_send = max(now, self.next_cold_send) + spacing
@@ -220,10 +248,13 @@
 
     Args:
         model: Service time estimates of the pool.
+        limits: Request limits of the servers; those of the host if it has several
+            queues, as a server may move between them.
     """
 
-    def __init__(self, *, model: ServiceTimeModel):
+    def __init__(self, *, model: ServiceTimeModel, limits: RequestLimits | None = None):
         self._service_model = model
+        self._limits = limits if limits is not None else RequestLimits()
         self._servers: dict[ServerId, _ServerState] = {}
         self._shared = [FairQueue() for _ in RequestClass]
         self._waiting: dict[RequestId, tuple[QueuedRequest, ServerId | None]] = {}
@@ -245,7 +276,10 @@
         state = self._servers.get(server)
         if state is None:
             self._servers[server] = _ServerState(
-                name=server, slots=slots, cold_rate=cold_rate
+                name=server,
+                slots=slots,
+                cold_rate=cold_rate,
+                limits=self._limits,
             )
             return
         state.slots = slots
@@ -394,8 +428,9 @@
         for server in self._servers.values():
             if server.unreachable_until > now:
                 wake = min(wake, server.unreachable_until)
-            if len(server.running) < server.slots and server.is_cold(now):
-                wake = min(wake, max(now, server.next_cold_send))
+            if len(server.running) < server.slots:
+                at = server.find_next_send(now)
+                wake = min(wake, at) if at > now else wake
         return wake
 
     def predict_latency(
@@ -527,10 +562,7 @@
         wait = ahead / server.slots
         if len(remaining_times) >= server.slots:
             wait += min(remaining_times)
-        if server.is_cold(now) and server.cold_rate > 0:
-            send_delay = count / (server.cold_rate * COLD_RATE_FACTOR)
-            wait = max(wait, server.next_cold_send - now + send_delay)
-        return wait
+        return max(wait, server.estimate_send_delay(now, count))
 
     def _dequeue_one(self, now: float) -> tuple[QueuedRequest, _ServerState] | None:
         ready = [item for item in self._servers.values() if item.may_send(now)]
@@ -579,6 +611,22 @@
             if now + MIN_REMAINING_SHARE * service_time <= request.deadline:
                 continue
             self._refuse(request, _refuse_overloaded(service_time))
+        for state in self._servers.values():
+            if self._limits.find(state.name) is not None:
+                self._refuse_beyond_limit(now, state)
+
+    def _refuse_beyond_limit(self, now: float, server: _ServerState) -> None:
+        """Refuses requests that were queued before the server lowered its limit."""
+        count = 0
+        for queue in server.queues:
+            for request in list(queue.iterate()):
+                service_time = self._service_model.estimate(request.route, server.name)
+                delay = server.estimate_send_delay(now, count)
+                end = now + delay + MIN_REMAINING_SHARE * service_time
+                if end <= request.deadline:
+                    count += 1
+                    continue
+                self._refuse(request, _refuse_overloaded(end - request.deadline))
 
     def _estimate_service(
         self, request: QueuedRequest, server: ServerId | None
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -1,11 +1,14 @@
 """Tests of the queue of one gate, in virtual time."""
 
+from collections import Counter
+
 import pytest
 
 from monsoonlug.exceptions import NotGate, Overloaded, ServerDraining
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import RequestClass
+from monsoonlug.request_limits import BURST, RequestLimits
 from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, ServiceTimeModel
 
 
@@ -14,7 +17,8 @@
 
     def __init__(self, *servers, slots=2, cold_rate=3.0):
         self.model = ServiceTimeModel()
-        self.queue = ServerQueue(model=self.model)
+        self.limits = RequestLimits()
+        self.queue = ServerQueue(model=self.model, limits=self.limits)
         for server in servers:
             self.queue.set_server(server, slots=slots, cold_rate=cold_rate)
         self.now = 0.0
@@ -195,3 +199,55 @@
     assert gate.queue.cancel(left)
     gate.advance(0.5)
     assert left not in [request_id for _, request_id, _ in gate.started]
+
+
+def count_most(times, window):
+    return max(sum(start <= at < start + window for at in times) for start in times)
+
+
+def test_limited_server_gets_at_most_its_rate_and_a_burst():
+    """Guards against sends above a server's request limit in any window."""
+    gate = SimulatedGate("a", slots=4)
+    gate.limits.set_limit("a", 1.5)
+    for _ in range(400):
+        gate.add(server="a", deadline=1.0)
+        gate.advance(0.05, step=0.05)
+    times = [at for at, _, _ in gate.started]
+    for window in (1.0, 4.0, 10.0):
+        assert count_most(times, window) <= 1.5 * window + BURST
+    assert len(times) > 1.5 * 20 - 2
+
+
+def test_lowered_limit_refuses_waiting_requests_at_once():
+    """Guards against requests that wait in vain after a server lowered its limit."""
+    gate = SimulatedGate("a", slots=1)
+    for _ in range(6):
+        gate.add(server="a", deadline=1.0)
+    gate.limits.set_limit("a", 0.5)
+    gate.advance(0.05)
+    # One request runs, and a burst of two remains.
+    assert len(gate.refused) == 3
+    assert all(refusal.error is Overloaded for _, refusal in gate.refused)
+
+
+def test_lifted_limit_restores_the_full_rate():
+    """Guards against a limit that outlasts the server's need."""
+    gate = SimulatedGate("a")
+    gate.limits.set_limit("a", 1.0)
+    gate.limits.set_limit("a", None)
+    for _ in range(20):
+        gate.add(server="a", deadline=5.0)
+    gate.advance(1.1)
+    assert len(gate.started) >= 20
+
+
+def test_other_servers_take_what_a_limited_one_cannot():
+    """Answers the pattern of one server in need among several of a pool."""
+    gate = SimulatedGate("a", "b")
+    gate.limits.set_limit("a", 1.0)
+    for _ in range(100):
+        gate.add(deadline=1.0)
+        gate.advance(0.1)
+    counts = Counter(server for _, _, server in gate.started)
+    assert counts["a"] <= 1.0 * 10 + BURST
+    assert counts["a"] + counts["b"] == 100
