Share a server's request limit among hosts and move keys away from it

Cause, found while looking for the same fault elsewhere: the limit is for all hosts together, and each host applied it alone. Two hosts send to one server while entries disagree on which of them is reachable. A gate's next host also began without the limit, and the assignment of keys ignored it, so that most requests for a limited server were refused for as long as it was in need.

Change: entries report to control what the last response of a limited server said and how old it is; the most recent report counts. Control announces the limit and the number of hosts that send, and each takes its part. The cost of a request at a limited server is at least 1 / limit, so its keys move to servers with room, few at a time as for any overload.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -116,6 +116,7 @@
             on_view=self._handle_view,
             on_hosts=self._handle_hosts,
             on_cold=lambda server, seconds: self._gate_host.set_cold(server, seconds),
+            on_limit=lambda *limit: self._gate_host.apply_request_limit(*limit),
             on_tokens=lambda: self._ingress.notify_token_waiters(),
             collect_loads=self._collect_loads,
         )
@@ -340,8 +341,12 @@
             {host: item.stream for host, item in self._known_hosts.items()}
         )
 
-    def _collect_loads(self) -> tuple[list, list]:
-        return self._ingress.collect_key_counts(), self._gate_host.list_server_loads()
+    def _collect_loads(self) -> tuple[list, list, list]:
+        return (
+            self._ingress.collect_key_counts(),
+            self._gate_host.list_server_loads(),
+            self._gate_host.list_request_limits(),
+        )
 
     async def _probe_servers(self) -> None:
         await self._gate_host.probe_servers(self._finder.is_own_gate)
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -1,7 +1,7 @@
 """Commands, view changes and stream messages of an announced fleet."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from monsoonlug import messages
 from monsoonlug.exceptions import DamagedFrame
@@ -165,6 +165,7 @@
         servers: Rows with the fields of `ServerReport`.
         wanted: By workspace, the urgent and the prefetched tokens requested and the
             share that the last leader reported.
+        limits: Rows with the fields of `LimitReport`.
     """
 
     sequence: int
@@ -177,6 +178,7 @@
     loads: list
     servers: list
     wanted: dict
+    limits: list = field(default_factory=list)
 
 
 @messages.register(231)
@@ -314,6 +316,21 @@
     members: list
 
 
+@messages.register(241)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimited:
+    """Reports the request limit of a backend server.
+
+    Attributes:
+        limit: Requests per second from all hosts together; 0 if there is no limit.
+        senders: Number of hosts that send requests to the server.
+    """
+
+    server: str
+    limit: float
+    senders: int
+
+
 _NUMBER = (int, float)
 
 
@@ -327,6 +344,7 @@
     if any(key > LAST_KEY for _, key, _ in heartbeat.loads):
         raise DamagedFrame(f"a row of loads has a key above {LAST_KEY}")
     _check_rows("servers", heartbeat.servers, (str, _NUMBER, _NUMBER, _NUMBER))
+    _check_rows("limits", heartbeat.limits, (str, _NUMBER, _NUMBER))
     check_wanted_tokens(heartbeat.wanted)
 
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -253,6 +253,19 @@
                 )
         return rows
 
+    def apply_request_limit(self, server: ServerId, limit: float, senders: int) -> None:
+        """Applies the request limit of a server that control reports; 0 lifts it."""
+        if self._request_limits.apply_notice(server, limit, senders):
+            _log_request_limit(server, limit, "control")
+        self.process_queues()
+
+    def list_request_limits(self) -> list[list]:
+        """Returns the request limits in responses as rows of `FleetHeartbeat`."""
+        rows = []
+        for report in self._request_limits.list_reports(self._clock()):
+            rows.append([report.server, report.limit, round(report.age, 3)])
+        return rows
+
     async def probe_servers(self, is_own: Callable[[GateId], bool]) -> None:
         """Asks servers whose speed is not known yet how slow their machines are.
 
@@ -464,12 +477,8 @@
         if existing is None:
             return
         limit = existing[1].request_limit
-        if not self._request_limits.set_limit(server, limit):
-            return
-        if limit is None:
-            logger.info("Server {} no longer limits its requests.", server)
-            return
-        logger.info("Server {} accepts {} requests per second.", server, limit)
+        if self._request_limits.record_response(self._clock(), server, limit):
+            _log_request_limit(server, limit or 0.0, "its response")
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
         existing = self._backends.get(server)
@@ -500,3 +509,12 @@
             epoch=job.head.slice_epoch,
             revision=self._view.revision,
         ).info("Attempt failed.")
+
+
+def _log_request_limit(server: ServerId, limit: float, source: str) -> None:
+    if limit > 0:
+        logger.info(
+            "Server {} accepts {} requests per second, says {}.", server, limit, source
+        )
+        return
+    logger.info("Server {} no longer limits its requests, says {}.", server, source)
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -34,6 +34,7 @@
 from monsoonlug.messages import Redirect
 from monsoonlug.rates import GlobalRateLimiter, list_limits
 from monsoonlug.registrar import Registrar
+from monsoonlug.request_limits import LimitReport
 from monsoonlug.subscribers import Subscriber, SubscriberStreams
 
 MAX_KEPT_DELTAS = 500  # an entry that lags further gets the whole view
@@ -265,6 +266,9 @@
                 base_latency=base_latency,
                 utilization=utilization,
             )
+        for server, limit, age in heartbeat.limits:
+            report = LimitReport(server=ServerId(server), limit=limit, age=age)
+            self.registrar.limits.record(now, HostId(heartbeat.host), report)
         # Sending a view takes seconds on a slow link. Heartbeats that arrive meanwhile
         # must not cause another one.
         if subscriber.sent_revision is None:
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -31,6 +31,7 @@
     PutServer,
     RemoveServer,
     ServerCold,
+    ServerLimited,
     covers_all_keys,
     pack_range,
     read_range,
@@ -41,6 +42,7 @@
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
 from monsoonlug.logs import get_logger
 from monsoonlug.releases import Release, find_release, subtract_releases
+from monsoonlug.request_limits import FleetLimits
 
 MAX_CLOCK_DRIFT = 1.02  # factor by which a server's clock may run slow
 # Milliseconds by which the times of day of a server and of control may differ.
@@ -118,6 +120,9 @@
         now: Time of the election, in seconds.
         view: The replicated view, which is only read here.
         heartbeat_interval: Seconds between two heartbeats of a server.
+
+    Attributes:
+        limits: Request limits of the servers, as the entries report them.
     """
 
     def __init__(self, *, now: float, view: FleetView, heartbeat_interval: float):
@@ -128,6 +133,7 @@
         # Epochs of assignments that were not granted yet, by owner, pool and range.
         self._pending_grants: dict[ServerId, dict[tuple[PoolId, int, int], int]] = {}
         self._notices: list[object] = []
+        self.limits = FleetLimits()
         for record in view.servers.values():
             # The previous leader may have renewed every lease just before it lost its
             # role.
@@ -149,6 +155,8 @@
             if process.cold_until > now:
                 left = process.cold_until - now
                 status.append(ServerCold(server=server, seconds=left))
+        for server, limit, senders in self.limits.iterate():
+            status.append(ServerLimited(server=server, limit=limit, senders=senders))
         for pool, plan in self._plans.items():
             for release in plan.releases:
                 status += self._build_status(pool, release.start, release.end, False)
@@ -176,6 +184,7 @@
                 born=heartbeat.born, last_heartbeat_at=now, lease_expires_at=now
             )
             self._processes[heartbeat.server] = process
+            self.limits.remove(now, heartbeat.server)
             plan = self._get_plan(heartbeat.pool)
             plan.last_joined_at = now
             plan.candidates_at = -math.inf
@@ -340,6 +349,9 @@
             commands += self._assign_unowned(now, pool, table, plan, candidates)
             plan.planned_moves = self._plan_moves(pool, table, plan, candidates)
         commands += self._remove_silent_servers(now)
+        for server, limit, senders in self.limits.take_changes(now):
+            notice = ServerLimited(server=server, limit=limit, senders=senders)
+            self._notices.append(notice)
         return commands
 
     def _is_outdated(
@@ -470,6 +482,9 @@
         for server, candidate in candidates.items():
             slots = self._view.servers[server].slots
             candidate.cost = work * candidate.latency_factor / slots
+            limit = self.limits.find(server)
+            if limit is not None:
+                candidate.cost = max(candidate.cost, 1 / limit)
             # Request counts follow a move at once, unlike the measured utilization.
             candidate.utilization = rates[server] * candidate.cost
 
@@ -563,6 +578,7 @@
             if record is None:
                 if self._is_silent(now, process):
                     del self._processes[server]
+                    self.limits.remove(now, server)
                 continue
             if now - process.last_heartbeat_at > REMOVAL_TIMEOUT:
                 yield RemoveServer(server=server, born=process.born)
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -19,6 +19,7 @@
     KeyStatusBatch,
     LiveHostList,
     ServerCold,
+    ServerLimited,
     covers_all_keys,
     read_range,
 )
@@ -125,8 +126,11 @@
         on_view: Called with the view and the parts changed since the last call.
         on_hosts: Called with the live hosts after a change.
         on_cold: Called with a server and for how many more seconds it is cold.
+        on_limit: Called with a server, its request limit (0 for none) and the number
+            of hosts that send to it.
         on_tokens: Called after each response with tokens.
-        collect_loads: Returns `loads` and `servers` for the next `FleetHeartbeat`.
+        collect_loads: Returns `loads`, `servers` and `limits` for the next
+            `FleetHeartbeat`.
     """
 
     def __init__(
@@ -139,8 +143,9 @@
         on_view: Callable[[FleetView, set[ViewPart]], None],
         on_hosts: Callable[[list[LiveHost]], None],
         on_cold: Callable[[ServerId, float], None],
+        on_limit: Callable[[ServerId, float, int], None],
         on_tokens: Callable[[], None],
-        collect_loads: Callable[[], tuple[list, list]],
+        collect_loads: Callable[[], tuple[list, list, list]],
     ):
         self.view = FleetView()
         self.rate_limiter = LocalRateLimiter(now=clock(), random=random)
@@ -154,6 +159,7 @@
         self._on_view = on_view
         self._on_hosts = on_hosts
         self._on_cold = on_cold
+        self._on_limit = on_limit
         self._on_tokens = on_tokens
         self._collect_loads = collect_loads
         self._sequence = 0
@@ -247,7 +253,7 @@
             )
             self._leader = ""
         self._sequence += 1
-        loads, servers = self._collect_loads() if self._leader else ([], [])
+        loads, servers, limits = self._collect_loads() if self._leader else ([], [], [])
         identity = self._identity
         heartbeat = FleetHeartbeat(
             sequence=self._sequence,
@@ -262,6 +268,7 @@
             wanted=self.rate_limiter.build_prefetch_request(now)
             if self._leader
             else {},
+            limits=limits,
         )
         self._sent_at[self._sequence] = now
         while len(self._sent_at) > MAX_UNANSWERED_HEARTBEATS:
@@ -296,6 +303,8 @@
                 self._handle_live_hosts(message)
             case ServerCold():
                 self._on_cold(ServerId(message.server), message.seconds)
+            case ServerLimited():
+                self._on_limit(ServerId(message.server), message.limit, message.senders)
             case Redirect():
                 self._handle_redirect(address, message)
 
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -77,6 +77,7 @@
         "loads": [["desk", 5, 2]],
         "servers": [["s1", 1.0, 0.1, 0.5]],
         "wanted": {"w": [1, 2, 0.5]},
+        "limits": [["s1", 2.0, 0.1]],
     }
     return FleetHeartbeat(**(fields | changes))
 
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -1,6 +1,11 @@
 import pytest
 
-from monsoonlug.fleet_messages import DomainChanged, KeyStatus, ServerCold
+from monsoonlug.fleet_messages import (
+    DomainChanged,
+    KeyStatus,
+    ServerCold,
+    ServerLimited,
+)
 from monsoonlug.heartbeats import ServerHeartbeat
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.registrar import (
@@ -9,6 +14,7 @@
     REMOVAL_TIMEOUT,
     Registrar,
 )
+from monsoonlug.request_limits import LimitReport
 from tests.test_fleet import Fleet, change
 from tests.test_items import build_pool, build_route
 
@@ -334,3 +340,38 @@
         if sum(row.size for row in held) < before:
             return
     pytest.fail("no key left the slow server")
+
+
+def test_keys_leave_a_server_that_limits_its_requests(leader):
+    """Answers the pattern of a server in need that owns as many keys as the others.
+
+    Requests beyond its limit are refused until other servers own the keys.
+    """
+    table = leader.fleet.state.view.tables["desk"]
+    before = leader.count_keys("s1")
+    for _ in range(10):
+        leader.now += PERIOD
+        for row in table.iterate():
+            leader.registrar.record_requests("desk", row.start, 1)
+        for server in ("s1", "s2"):
+            leader.registrar.record_utilization(
+                server, slowdown=1.0, base_latency=0.1, utilization=0.3
+            )
+        report = LimitReport(server="s1", limit=1.0, age=0.0)
+        leader.registrar.limits.record(leader.now, "h1", report)
+        leader.send_heartbeat("s2")
+        leader.run_timer()
+        held = leader.send_heartbeat("s1")
+        if sum(row.size for row in held) < before:
+            return
+    pytest.fail("no key left the limited server")
+
+
+def test_new_entry_hears_of_limits(leader):
+    """Guards against a host that starts with a full rate to a limited server."""
+    report = LimitReport(server="s1", limit=1.0, age=0.0)
+    leader.registrar.limits.record(leader.now, "h1", report)
+    leader.run_timer()
+    notice = ServerLimited(server="s1", limit=1.0, senders=1)
+    assert notice in leader.registrar.take_notices()
+    assert notice in leader.registrar.list_status(leader.now)
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -208,7 +208,7 @@
 def test_limited_server_gets_at_most_its_rate_and_a_burst():
     """Guards against sends above a server's request limit in any window."""
     gate = SimulatedGate("a", slots=4)
-    gate.limits.set_limit("a", 1.5)
+    gate.limits.record_response(0.0, "a", 1.5)
     for _ in range(400):
         gate.add(server="a", deadline=1.0)
         gate.advance(0.05, step=0.05)
@@ -223,7 +223,7 @@
     gate = SimulatedGate("a", slots=1)
     for _ in range(6):
         gate.add(server="a", deadline=1.0)
-    gate.limits.set_limit("a", 0.5)
+    gate.limits.record_response(0.0, "a", 0.5)
     gate.advance(0.05)
     # One request runs, and a burst of two remains.
     assert len(gate.refused) == 3
@@ -233,8 +233,8 @@
 def test_lifted_limit_restores_the_full_rate():
     """Guards against a limit that outlasts the server's need."""
     gate = SimulatedGate("a")
-    gate.limits.set_limit("a", 1.0)
-    gate.limits.set_limit("a", None)
+    gate.limits.record_response(0.0, "a", 1.0)
+    gate.limits.record_response(0.0, "a", None)
     for _ in range(20):
         gate.add(server="a", deadline=5.0)
     gate.advance(1.1)
@@ -244,7 +244,7 @@
 def test_other_servers_take_what_a_limited_one_cannot():
     """Answers the pattern of one server in need among several of a pool."""
     gate = SimulatedGate("a", "b")
-    gate.limits.set_limit("a", 1.0)
+    gate.limits.record_response(0.0, "a", 1.0)
     for _ in range(100):
         gate.add(deadline=1.0)
         gate.advance(0.1)
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -36,8 +36,9 @@
             on_view=lambda view, changed: None,
             on_hosts=lambda hosts: None,
             on_cold=lambda server, seconds: None,
+            on_limit=lambda server, limit, senders: None,
             on_tokens=lambda: None,
-            collect_loads=lambda: ([], []),
+            collect_loads=lambda: ([], [], []),
         )
 
     def receive(self, message, address=SEED):
