Read heartbeats of entries that do not know request limits yet

Cause: a field of a message with a default factory counted as required, so control refused the heartbeats of entries of the previous version while a new one is rolled out, and they had no view. Change: a default factory counts as a default.

Result: test_heartbeat_of_the_previous_version_is_read fails before (damaged frame) and passes now.

--- a/src/monsoonlug/messages.py
+++ b/src/monsoonlug/messages.py
@@ -134,7 +134,8 @@
 def _count_required(message_type: type) -> int:
     count = 0
     for field in dataclasses.fields(message_type):
-        if field.default is not dataclasses.MISSING:
+        has_factory = field.default_factory is not dataclasses.MISSING
+        if has_factory or field.default is not dataclasses.MISSING:
             break
         count += 1
     return count
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 
+import msgpack
+
+from monsoonlug import messages
 from monsoonlug.clocks import read_clock
 from monsoonlug.fleet import FleetView
-from monsoonlug.fleet_messages import FleetServer, ServerLimited
+from monsoonlug.fleet_messages import FleetHeartbeat, FleetServer, ServerLimited
 from monsoonlug.gatehost import ClosingTimes, GateHost, build_gate_id
 from monsoonlug.items import ItemKind, PoolItem
 from monsoonlug.messages import RequestHead
@@ -236,6 +239,26 @@
     assert not any(len(limits) for limits in shared.hosts.values())
 
 
+def test_heartbeat_of_the_previous_version_is_read():
+    """Guards against entries that control refuses while a new version is rolled out."""
+    heartbeat = FleetHeartbeat(
+        sequence=1,
+        host="h1",
+        failure_domain="east",
+        stream="127.0.0.1:3",
+        boot="b",
+        revision=0,
+        leaving=False,
+        loads=[],
+        servers=[],
+        wanted={},
+        limits=[["s1", 2.0, 0.1]],
+    )
+    values = msgpack.unpackb(messages.encode(heartbeat))
+    read = messages.decode(msgpack.packb(values[:-1]))
+    assert read.limits == []
+
+
 def test_restarted_server_has_no_limit():
     """Guards against the limit of a process that has ended."""
     shared = SharedLimits()
