Log requests that a backend server was running when it ended

Cause: a lost connection was an unknown outcome like any other, and the log names requests by an id that is new for each attempt of a caller.

The entry logs the fingerprint of the request (workspace, method, target, body). Retries are as before.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -139,6 +139,7 @@
             DeadlineExceeded: If the deadline has passed; nothing was sent.
             BackendRefused: If the server reports that it did not run the request.
             BackendFenced: If the server rejected the fencing token.
+            ConnectionLost: If the connection ended before a response.
             OutcomeUnknown: If the request may have run.
         """
 
@@ -153,6 +154,10 @@
             MonsoonlugError: If there is no response.
         """
 
+    async def is_process_gone(self) -> bool:
+        """Returns whether the server's host refuses connections to the server."""
+        return False
+
     @abstractmethod
     def cancel(self, request: RequestId) -> bool:
         """Cancels a request; its `send` or `iterate` raises `OutcomeUnknown`.
--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from monsoonlug.admission import AdmittedRequest, BodyCounter
+from monsoonlug.crash_tracking import compute_fingerprint
 from monsoonlug.dispatch import (
     Abort,
     Action,
@@ -33,12 +34,14 @@
     BodyTooLarge,
     MonsoonlugError,
     NoOwner,
+    ServerCrashed,
     StreamClosed,
     find_error,
 )
 from monsoonlug.exchanges import MAX_CHUNK_BYTES, Exchange, ExchangeTable, ResponseFrame
 from monsoonlug.gate import Outcome
-from monsoonlug.ids import HostId, Ran, RequestId, ServerId
+from monsoonlug.ids import Fingerprint, HostId, Ran, RequestId, ServerId
+from monsoonlug.logs import get_logger
 from monsoonlug.messages import (
     RequestFailed,
     RequestHead,
@@ -54,6 +57,8 @@
 NO_OWNER_RETRY_AFTER = 1.0  # seconds
 BODILESS_STATUSES = frozenset({204, 304})
 
+logger = get_logger("front")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeliveryContext:
@@ -327,6 +332,8 @@
                 )
             case RequestFailed():
                 self._outcome = _classify_failure(frame)
+                if find_error(frame.code) is ServerCrashed:
+                    self._log_crash()
                 self._context.finder.record_failure(
                     self._target, find_error(frame.code)
                 )
@@ -338,6 +345,22 @@
                     retry_after=frame.retry_after if frame.retry_after >= 0 else None,
                 )
 
+    def _log_crash(self) -> None:
+        logger.bind(
+            request=self._request_id,
+            route=self._admitted.route.name,
+            workspace=self._admitted.workspace or "",
+            sent_to=self.sent_to,
+            fingerprint=self._fingerprint,
+        ).warning("A backend server ended while it ran a request.")
+
+    @property
+    def _fingerprint(self) -> Fingerprint:
+        admitted = self._admitted
+        return compute_fingerprint(
+            admitted.workspace, admitted.method, admitted.target, self._body
+        )
+
     def _find_request_id(self, attempt_id: str) -> RequestId:
         if attempt_id == self._format_attempt_id(self._attempts.attempt):
             return self._request_id
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -17,6 +17,7 @@
     Overloaded,
     ProcessGone,
     Refusal,
+    ServerCrashed,
     ServerDraining,
     ShuttingDown,
     StreamClosed,
@@ -383,7 +384,7 @@
         retriable = event.error in RETRIABLE_ERRORS
         if event.error is Overloaded:
             retriable = self._pooled
-        if event.error is OutcomeUnknown:
+        if event.error in (OutcomeUnknown, ServerCrashed):
             retriable = self._idempotent
         if retriable and self._is_safe_to_repeat():
             wait = 0.0 if event.error is Overloaded else event.retry_after
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -257,6 +257,18 @@
     ran = Ran.UNKNOWN
 
 
+class ConnectionLost(OutcomeUnknown):
+    """The connection to the backend server was lost before its response."""
+
+
+class ServerCrashed(MonsoonlugError):
+    """The backend server's process ended while it ran the request."""
+
+    code = "server-crashed"
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class AnswerCutOff(MonsoonlugError):
     """The answer was lost after its head had come from the gate."""
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -19,12 +19,14 @@
     BackendFenced,
     BackendRefused,
     ConnectFailed,
+    ConnectionLost,
     DeadlineExceeded,
     InternalError,
     MonsoonlugError,
     NotGate,
     OutcomeUnknown,
     ProcessGone,
+    ServerCrashed,
     StreamClosed,
 )
 from monsoonlug.exchanges import Peer
@@ -438,6 +440,9 @@
         except MonsoonlugError as error:
             if isinstance(error, OutcomeUnknown):
                 outcome = Outcome.ABANDONED
+            if isinstance(error, ConnectionLost) and await self._is_gone(server):
+                error = ServerCrashed()
+                outcome = Outcome.UNREACHED
             self._log_failure(job, server, error)
             job.fail(error)
         except Exception:
@@ -454,6 +459,10 @@
             )
             self.process_queues()
 
+    async def _is_gone(self, server: ServerId) -> bool:
+        existing = self._backends.get(server)
+        return existing is not None and await existing[1].is_process_gone()
+
     async def _send_request(
         self, queue: ServerQueue, job: Job, server: ServerId
     ) -> None:
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -24,6 +24,7 @@
     BackendRefused,
     BadRequest,
     ConnectFailed,
+    ConnectionLost,
     DeadlineExceeded,
     OutcomeUnknown,
     ProcessGone,
@@ -34,11 +35,13 @@
     TrackedHandler,
 )
 from monsoonlug.ids import RequestId, ServerId
+from monsoonlug.settings import split_address
 
 CONNECT_TIMEOUT = 1.0  # seconds
 # Share of the time until the deadline. A connect timeout before the deadline still
 # proves that nothing was sent.
 CONNECT_TIMEOUT_SHARE = 0.9
+CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
 PROBE_TIMEOUT = 0.5  # seconds until the response to a probe
 KEEPALIVE_TIMEOUT = 60.0  # seconds
 KEEPALIVE_TIMEOUT_SHARE = 0.6  # of the Keep-Alive timeout that the server announces
@@ -192,6 +195,19 @@
             raise OutcomeUnknown("no response to a probe") from None
         return slowdown
 
+    async def is_process_gone(self) -> bool:
+        """Opens a connection to find out; see `BackendProtocol.is_process_gone`."""
+        host, port = split_address(self.address)
+        try:
+            async with asyncio.timeout(CRASH_CHECK_TIMEOUT):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return True
+        except OSError:  # includes the timeout
+            return False
+        writer.close()
+        return False
+
     def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
         """Returns the slowdown that a response reports, or None if it reports none."""
         return None
@@ -405,7 +421,7 @@
             error, aiohttp.ClientError
         ):
             raise
-        raise OutcomeUnknown(
+        raise ConnectionLost(
             f"the connection was lost ({type(error).__name__})"
         ) from None
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -35,6 +35,7 @@
     "folder-copied",
     "membership-refused",
     "command-too-large",
+    "server-crashed",  # attempts fail with it; callers see outcome-unknown
     "unknown-window",
     "unknown-report-route",
 }
