--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -8,9 +8,11 @@
 import itertools
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
+from enum import Enum
 from pathlib import Path
 
 import aiohttp
@@ -26,6 +28,7 @@
 POLL_INTERVAL = 0.05  # seconds
 SERVICE = "desk"
 HOST_HEADER = "lights.example"
+UNSAFE_PREFIX = "/orders/"
 WORKSPACE_KEY = "key-of-the-counter"
 
 _networks = itertools.count(1)
@@ -33,11 +36,17 @@
 
 
 class Node:
-    """One process of the system."""
+    """One process of the system.
+
+    Attributes:
+        addresses: For an entry, proxies to use in place of servers' addresses.
+    """
 
     def __init__(self, *, folder, name, role, ip, zone, seeds):
         self.name = name
         self.role = role
+        self.zone = zone
+        self.addresses = {}
         self.ip = ip
         self.folder = folder / name
         self.folder.mkdir()
@@ -66,15 +75,20 @@
     def start(self):
         path = self.folder / "node.json"
         path.write_text(json.dumps(self.settings))
-        source = Path(__file__).parent.parent / "src"
+        root = Path(__file__).parent.parent
         environment = {
             **os.environ,
             "MONSOONLUG_NODE_FILE": str(path),
-            "PYTHONPATH": str(source),
+            "PYTHONPATH": f"{root / 'src'}:{root}",
         }
+        command = ["monsoonlug.platform", self.role]
+        if self.addresses:
+            proxies = self.folder / "proxies.json"
+            proxies.write_text(json.dumps(self.addresses))
+            command = ["tests.proxied_entry", str(proxies)]
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "monsoonlug.platform", self.role],
+                [sys.executable, "-m", *command],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -109,7 +123,11 @@
         crashes: Times of the crashes.
     """
 
-    def __init__(self, *, ip, zone, control, service_time=0.01, downtime=1.0):
+    def __init__(
+        self, *, ip, zone, control, service_time=0.01, downtime=1.0, keyed=False
+    ):
+        self.keyed = keyed
+        self.held = []
         self.address = f"{ip}:{SERVER_PORT}"
         self.zone = zone
         self.control = control
@@ -126,6 +144,8 @@
         self.born = next(_boots)
         self.name = f"i-{self.born}"
         self._sequence = 0
+        self.held = []
+        self._freed = []
         host, port = self.address.split(":")
         self._listener = await asyncio.start_server(self._serve, host, int(port))
         self._spawn(self._beat())
@@ -167,15 +187,38 @@
                     "warmupLeft": "0ms",
                     "sequence": self._sequence,
                     "born": born,
-                    "holds": [],
-                    "freed": [],
+                    "holds": [row[:3] for row in self.held],
+                    "freed": [[*row[:2], "token"] for row in self._freed],
                 }
                 url = f"http://{self.control}:{CONTROL_PORT}"
                 path = f"/monsoonlug/Instances.Heartbeat/{self.name}"
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    async with session.post(url + path, json=body, timeout=1.0):
-                        pass
-                await asyncio.sleep(HEARTBEAT_INTERVAL)
+                    async with session.post(
+                        url + path, json=body, timeout=1.0
+                    ) as response:
+                        self._freed = []
+                        self._hold(await response.json())
+                await asyncio.sleep(0.1 if self._freed else HEARTBEAT_INTERVAL)
+
+    def _hold(self, answer):
+        """Takes the ranges of an answer and releases what it leaves out."""
+        granted = answer.get("holds")
+        if granted is None:
+            return
+        for start, end, *_ in self.held:
+            at = start
+            for first, last, *_ in sorted(granted):
+                if last < at or first > end:
+                    continue
+                if first > at:
+                    self._freed.append([at, first - 1])
+                at = last + 1
+            if at <= end:
+                self._freed.append([at, end])
+        self.held = granted
+
+    def _holds_key(self, key):
+        return any(start <= key <= end for start, end, *_ in self.held)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -195,12 +238,20 @@
             name, _, value = line.partition(":")
             named[name.lower()] = value.strip()
         body = await _read_body(reader, named)
+        request_id = named.get("x-monsoonlug-request-id", "")
+        key = int(named.get("x-monsoonlug-shard-key", 0))
+        if self.keyed and not self._holds_key(key):
+            writer.write(
+                "HTTP/1.1 421 Misdirected\r\nX-Monsoonlug-Not-Executed: 1\r\n"
+                f"X-Monsoonlug-Request-Id: {request_id}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
         self.arrivals.append((time.monotonic(), path, body))
         if path in self.deadly or body in self.deadly:
             self._spawn(self._crash())
             return False
         await asyncio.sleep(self.service_time)
-        request_id = named.get("x-monsoonlug-request-id", "")
         lines = [
             "HTTP/1.1 200 OK",
             f"X-Monsoonlug-Request-Id: {request_id}",
@@ -225,11 +276,128 @@
     return body
 
 
+class Cut(Enum):
+    """How a proxy partitions an entry from a server."""
+
+    SILENT = "connections hang, and so do new ones"
+    RESET = "connections are reset and new ones refused"
+    REFUSE_NEW = "connections live on and new ones are refused"
+
+
+class CutProxy:
+    """Forwards the connections of one entry to one server, until it is cut."""
+
+    def __init__(self, *, address, target):
+        self.address = address
+        self._target = target
+        self._cut = None
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+        self._writers = set()
+        self._fillers = []
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((host, int(port)))
+        self._socket.listen(0 if self._cut is Cut.SILENT else 100)
+        self._listener = None
+        if self._cut is Cut.SILENT:
+            # Once the queue of connections is full, the kernel drops further SYNs.
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((host, int(port)))
+                self._fillers.append(filler)
+            return
+        self._listener = await asyncio.start_server(self._serve, sock=self._socket)
+
+    async def cut(self, how):
+        self._cut = how
+        self._close_listener()
+        if how is Cut.SILENT:
+            self._flowing.clear()
+            await self.start()
+        if how is Cut.RESET:
+            self._abort()
+
+    async def heal(self):
+        if self._cut is Cut.SILENT:
+            self._close_listener()
+            # What was held up is lost, as after a partition of some seconds.
+            self._abort()
+            self._flowing.set()
+        self._cut = None
+        await self.start()
+
+    def stop(self):
+        self._close_listener()
+        self._abort()
+
+    def _close_listener(self):
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        if self._listener is not None:
+            self._listener.close()
+        self._socket.close()
+
+    def _abort(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        host, port = self._target.split(":")
+        try:
+            remote_reader, remote_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, remote_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, remote_writer), self._pump(remote_reader, writer)
+            )
+        except OSError:
+            return
+        finally:
+            for item in (writer, remote_writer):
+                self._writers.discard(item)
+                item.transport.abort()
+
+    async def _pump(self, reader, writer):
+        while data := await reader.read(65536):
+            await self._flowing.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+
 class PlatformFleet:
-    """One control replica, entries and stand-in servers of one pool without keys."""
+    """One control replica, entries and stand-in servers of one pool without keys.
+
+    Args:
+        folder: Folder for settings, data and logs.
+        entries: Failure domain of each entry.
+        servers: Failure domain of each server.
+        proxied: Whether each entry reaches each server through a `CutProxy`.
+        keyed: Whether the pool is routed by key.
+        server_options: Options of the servers.
+    """
 
-    def __init__(self, folder, *, entries=2, servers=4, **server_options):
-        network = f"127.{64 + os.getpid() % 128}.{next(_networks) % 256}"
+    def __init__(
+        self,
+        folder,
+        *,
+        entries=("east",) * 2,
+        servers=("east",) * 4,
+        proxied=False,
+        keyed=False,
+        **server_options,
+    ):
+        self.keyed = keyed
+        network = self._allocate_network()
         control = f"{network}.1"
         self.control = Node(
             folder=folder,
@@ -240,27 +408,56 @@
             seeds=[control],
         )
         self.entries = []
-        for number in range(entries):
+        for number, zone in enumerate(entries):
             node = Node(
                 folder=folder,
                 name=f"entry-{number + 1}",
                 role="entry",
                 ip=f"{network}.{10 + number}",
-                zone="east",
+                zone=zone,
                 seeds=[control],
             )
             self.entries.append(node)
         self.servers = []
-        for number in range(servers):
+        for number, zone in enumerate(servers):
             server = StandInServer(
                 ip=f"{network}.{100 + number}",
-                zone="east",
+                zone=zone,
                 control=control,
+                keyed=keyed,
                 **server_options,
             )
             self.servers.append(server)
+        self.proxies = {entry.name: [] for entry in self.entries}
+        if proxied:
+            for entry in self.entries:
+                self._add_proxies(entry)
+
+    @staticmethod
+    def _allocate_network():
+        return f"127.{64 + os.getpid() % 128}.{next(_networks) % 256}"
+
+    def _add_proxies(self, entry):
+        network = self._allocate_network()
+        for number, server in enumerate(self.servers):
+            address = f"{network}.{100 + number}:{SERVER_PORT}"
+            proxy = CutProxy(address=address, target=server.address)
+            entry.addresses[server.address] = address
+            self.proxies[entry.name].append(proxy)
+
+    async def cut(self, entry, how):
+        """Partitions an entry from all servers."""
+        for proxy in self.proxies[entry.name]:
+            await proxy.cut(how)
+
+    async def heal(self, entry):
+        for proxy in self.proxies[entry.name]:
+            await proxy.heal()
 
     async def __aenter__(self):
+        for proxies in self.proxies.values():
+            for proxy in proxies:
+                await proxy.start()
         for node in (self.control, *self.entries):
             node.start()
         self.session = aiohttp.ClientSession()
@@ -275,14 +472,18 @@
         await self.session.close()
         for server in self.servers:
             await server.stop()
-        for node in (*self.entries, self.control):
-            await asyncio.to_thread(node.stop)
+        nodes = (*self.entries, self.control)
+        await asyncio.gather(*(asyncio.to_thread(node.stop) for node in nodes))
+        for proxies in self.proxies.values():
+            for proxy in proxies:
+                proxy.stop()
 
-    async def send(self, entry, path, *, request_id, body=None, deadline=1.0, key=None):
+    async def send(self, entry, path, *, request_id, body=None, deadline=1.0, key=0):
         """Sends a request; returns the status, or None if the connection was lost."""
         headers = {
             "Host": HOST_HEADER,
-            "Authorization": f"Bearer {key or WORKSPACE_KEY}",
+            "Authorization": f"Bearer {WORKSPACE_KEY}",
+            "X-Monsoonlug-Shard-Key": str(key),
             "X-Monsoonlug-Request-Id": request_id,
             "X-Monsoonlug-Deadline-Ms": str(round(1000 * deadline)),
         }
@@ -312,6 +513,7 @@
             "maxAttempts": 2,
             "public": False,
         }
+        unsafe = route | {"pathPrefix": UNSAFE_PREFIX, "type": "unsafe"}
         service = {
             "healthPath": "/healthz",
             "maxConnections": 100,
@@ -320,6 +522,8 @@
             "warmup": "0s",
             "warmupPerS": 1000.0,
         }
+        if self.keyed:
+            service |= {"sharded": True, "warm": "0s", "grants": "heartbeat"}
         tenant = {"apiKeys": [WORKSPACE_KEY], "priority": 1}
         limits = {
             "maxHeaderBytes": 16384,
@@ -330,6 +534,7 @@
         resources = []
         for kind, name, spec in (
             ("routes", "r-1", route),
+            ("routes", "r-2", unsafe),
             ("services", SERVICE, service),
             ("tenants", "counter", tenant),
             ("limits", "", limits),
