Send through another host when a gate's host cannot reach its server

What callers saw: while the only entry of a failure domain was partitioned from all servers, keys of the servers there were refused at every entry.

Cause: entries agree on the host of a gate by the list of live hosts, and a host that only the servers cannot reach stays in it. It answered every request for these servers with a refusal, or after a silent connection not at all, and no entry tried another host.

Change: the host of a gate tells unreachable from overloaded. An entry avoids such a host for 1 s and prefers hosts of other failure domains; if three hosts fail, the server is at fault and the request is refused at once. Overdue responses make the host open a test connection; if it hangs, requests that may run twice go to another gate, and nothing more is sent until a connection opens again, which is tried every 0.15 s, no longer with a caller's request.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -29,6 +29,14 @@
     MAYBE_RUN = "maybe run"
 
 
+class ConnectResult(Enum):
+    """Result of an attempt to connect to a server."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused by the server's host"
+    NO_ANSWER = "no answer"
+
+
 def classify_failure(error: MonsoonlugError) -> FailureKind:
     """Returns whether an attempt with this `BackendProtocol` error may have run.
 
@@ -154,9 +162,13 @@
             MonsoonlugError: If there is no response.
         """
 
-    async def is_process_gone(self) -> bool:
-        """Returns whether the server's host refuses connections to the server."""
-        return False
+    async def try_connect(self, timeout: float) -> ConnectResult:
+        """Opens and closes a connection to the server.
+
+        Args:
+            timeout: Seconds after which the result is `NO_ANSWER`.
+        """
+        return ConnectResult.ACCEPTED
 
     @abstractmethod
     def cancel(self, request: RequestId) -> bool:
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -19,6 +19,7 @@
     Refusal,
     ServerCrashed,
     ServerDraining,
+    ServerUnreachable,
     ShuttingDown,
     StreamClosed,
 )
@@ -26,6 +27,7 @@
 
 MAX_ATTEMPTS = 3  # at backend servers
 MAX_REROUTE_DOUBLINGS = 3  # of the backoff; 20 reroutes then take more than 1 s
+MAX_UNREACHED = 3  # gates that cannot reach the server, until the request is refused
 MAX_REROUTES = 20  # attempts that fail before they reach a backend server
 RETRY_RATIO = 0.1  # retries per request, on average
 RETRY_BURST = 10.0  # retries that may be sent in a burst
@@ -33,12 +35,16 @@
 # A request that fails with one of these put no load on a backend server, so a retry
 # does not count against the retry budget. When many keys move at once, the budget would
 # otherwise run out and refuse requests that the new owner can serve.
-REROUTABLE_ERRORS = frozenset(
-    (BackendFenced, LeaseOver, NoOwner, NotGate, ProcessGone, StreamClosed)
-)
+UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
+REROUTABLE_ERRORS = UNREACHED_ERRORS | {
+    BackendFenced,
+    LeaseOver,
+    NoOwner,
+    NotGate,
+    StreamClosed,
+}
 RETRIABLE_ERRORS = REROUTABLE_ERRORS | {
     BackendRefused,
-    ConnectFailed,
     ServerDraining,
     ShuttingDown,
 }
@@ -266,6 +272,7 @@
         self._random = random
         self._replayable = True
         self._reroutes = 0
+        self._unreached = 0
         self._maybe_ran = False
         self._begun = False
         self._retry_at: float | None = None
@@ -384,10 +391,17 @@
         retriable = event.error in RETRIABLE_ERRORS
         if event.error is Overloaded:
             retriable = self._pooled
-        if event.error in (OutcomeUnknown, ServerCrashed):
+        if event.error in UNREACHED_ERRORS:
+            self._unreached += 1
+            retriable = self._unreached < MAX_UNREACHED
+        if event.error in (OutcomeUnknown, ServerCrashed, ServerUnreachable):
             retriable = self._idempotent
         if retriable and self._is_safe_to_repeat():
-            wait = 0.0 if event.error is Overloaded else event.retry_after
+            # Another gate may send the request at once.
+            is_gate_specific = event.error is Overloaded or (
+                event.error in UNREACHED_ERRORS
+            )
+            wait = 0.0 if is_gate_specific else event.retry_after
             is_rerouted = event.error in REROUTABLE_ERRORS and event.ran is Ran.NOT_RUN
             retry = self._retry(now, wait or 0.0, is_rerouted=is_rerouted)
             if retry is not None:
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -268,6 +268,14 @@
     """The connection to the backend server was lost before its response."""
 
 
+class ServerUnreachable(MonsoonlugError):
+    """The backend server's host became unreachable while the request may have run."""
+
+    code = "server-unreachable"
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class ServerCrashed(MonsoonlugError):
     """The backend server's process ended while it ran the request."""
 
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -45,6 +45,7 @@
 LEAVE_NOTICE = 2.6
 SHUTDOWN_MARGIN = 0.7  # seconds of the grace period reserved for closing streams
 PROBE_INTERVAL = 0.5  # seconds between two probes of a server
+SILENCE_POLL_INTERVAL = 0.100  # seconds
 DRAIN_POLL_INTERVAL = 0.020  # seconds
 MAX_LINE_BYTES = 16_384  # in a request line or one header field
 REVOCATION_MARGIN = 0.5  # seconds before the revocation bound at which a view expires
@@ -182,6 +183,11 @@
         self._spawn(
             self._run_periodically(CHECK_INTERVAL, self._failure_detector.check_hosts)
         )
+        self._spawn(
+            self._run_periodically(
+                SILENCE_POLL_INTERVAL, self._gate_host.check_silent_servers
+            )
+        )
         self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from monsoonlug.admission import AdmittedRequest
-from monsoonlug.exceptions import BackendFenced, MonsoonlugError
+from monsoonlug.dispatch import MAX_UNREACHED, UNREACHED_ERRORS
+from monsoonlug.exceptions import BackendFenced, MonsoonlugError, ServerUnreachable
 from monsoonlug.fleet import FleetView
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import (
@@ -31,6 +32,7 @@
 WAIT_DECAY_TIME = 0.5
 MIN_SAMPLE_WEIGHT = 0.05  # of one response in the mean wait
 MEAN_TIME_CONSTANT = 3.0  # seconds; of the exponential moving average
+UNREACHED_TIME = 1.0  # seconds for which a host that cannot reach a server is avoided
 TIE_RANGE = 0.030  # seconds; gates that differ by less are chosen at random
 
 
@@ -97,13 +99,17 @@
         self._closing_times = closing_times
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
-        self._ranked_hosts: dict[str, list[HostId]] = {}
+        self._ranked_hosts: dict[str, list[LiveHost]] = {}
+        self._unreached: dict[str, dict[HostId, float]] = {}
         self._loads: dict[str, GateLoad] = {}
 
     def update_fleet(self, view: FleetView, gates: Iterable[GateId]) -> None:
         """Applies a view with changed items or servers, and its gates."""
         self._fleet = view
         self._pool_gates = {}
+        names = {gate.name for gate in gates}
+        for name in set(self._unreached) - names:
+            del self._unreached[name]
         for gate in gates:
             if gate.pool not in view.tables:
                 self._pool_gates.setdefault(gate.pool, []).append(gate)
@@ -145,11 +151,15 @@
         self._get_load(target.server).record(self._clock(), wait)
 
     def record_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
-        """Blocks the key range if its server rejected the request as not the owner.
+        """Avoids a gate's host that cannot reach its server, or blocks a key range.
 
+        The key range is blocked if its server rejected the request as not the owner.
         The server is unlikely to own the range a few milliseconds later, and each
         rejected request would count against the retry limit.
         """
+        if error in UNREACHED_ERRORS or error is ServerUnreachable:
+            until = self._clock() + UNREACHED_TIME
+            self._unreached.setdefault(target.server, {})[target.host] = until
         table = self._fleet.tables.get(PoolId(target.pool))
         if error is not BackendFenced or target.slice == POOLED or table is None:
             return
@@ -226,12 +236,30 @@
     def _choose_host(self, gate: GateId) -> HostId:
         ranked = self._ranked_hosts.get(gate.name)
         if ranked is None:
-            ranked = [host.host for host in rank_hosts(gate, self._hosts)]
+            ranked = list(rank_hosts(gate, self._hosts))
             self._ranked_hosts[gate.name] = ranked
-        for host in ranked:
-            if host == self._host or self._is_reachable(host):
-                return host
+        unreached = self._list_unreached(gate)
+        if unreached:
+            # Hosts of other failure domains first, as a domain may be cut off.
+            domains = {item.failure_domain for item in ranked if item.host in unreached}
+            others = [item for item in ranked if item.host not in unreached]
+            others.sort(key=lambda item: item.failure_domain in domains)
+            ranked = others + [item for item in ranked if item.host in unreached]
+        for item in ranked:
+            if item.host == self._host or self._is_reachable(item.host):
+                return item.host
         return self._host
 
+    def _list_unreached(self, gate: GateId) -> set[HostId]:
+        """Returns the hosts that could not reach the server of a gate recently."""
+        times = self._unreached.get(gate.name)
+        if not times:
+            return set()
+        now = self._clock()
+        for host in [host for host, until in times.items() if until <= now]:
+            del times[host]
+        # If several hosts cannot reach it, the server is at fault.
+        return set(times) if len(times) < MAX_UNREACHED else set()
+
     def _get_load(self, name: str) -> GateLoad:
         return self._loads.setdefault(name, GateLoad())
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from monsoonlug.backend import BackendProtocol
+from monsoonlug.backend import BackendProtocol, ConnectResult
 from monsoonlug.exceptions import (
     BackendFenced,
     BackendRefused,
@@ -27,6 +27,7 @@
     OutcomeUnknown,
     ProcessGone,
     ServerCrashed,
+    ServerUnreachable,
     StreamClosed,
 )
 from monsoonlug.exchanges import Peer
@@ -56,6 +57,10 @@
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
+CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
+REACHABILITY_TIMEOUT = 0.25  # seconds until a server that accepts no connection is cut
+REACHABILITY_CHECK_INTERVAL = 0.15  # seconds between two checks of such a server
+SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 
 logger = get_logger("gate")
@@ -168,6 +173,20 @@
         return self._times.get(server, math.inf)
 
 
+@dataclass(slots=True, kw_only=True)
+class _Attempt:
+    """A request that was sent to a server and has not ended.
+
+    Attributes:
+        is_given_up: Whether it was cancelled because the server is unreachable.
+    """
+
+    server: ServerId
+    job: Job
+    task: asyncio.Task
+    is_given_up: bool = False
+
+
 class GateHost:
     """Serves the gates that the requests of any entry are addressed to.
 
@@ -195,7 +214,9 @@
         self._request_limits = RequestLimits()
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
-        self._running: dict[RequestId, tuple[ServerId, asyncio.Task]] = {}
+        self._running: dict[RequestId, _Attempt] = {}
+        self._watches: dict[ServerId, asyncio.Task] = {}
+        self._checked_at: dict[ServerId, float] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._close_tasks: set[asyncio.Task] = set()
 
@@ -311,7 +332,9 @@
 
     async def stop(self) -> None:
         """Waits for the running requests, then closes the connections to servers."""
-        tasks = [task for _, task in self._running.values()]
+        for watch in self._watches.values():
+            watch.cancel()
+        tasks = [attempt.task for attempt in self._running.values()]
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_TIMEOUT)
         for _, backend in self._backends.values():
@@ -324,7 +347,9 @@
         for queue in self._queues.values():
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
-                self._running[request.request_id] = (server, task)
+                self._running[request.request_id] = _Attempt(
+                    server=server, job=request.payload, task=task
+                )
             for request, refusal in queue.expire(now):
                 request.payload.fail(refusal.build_error())
             found = queue.find_wake_time(now)
@@ -414,7 +439,7 @@
         running = self._running.get(request_id)
         if running is None:
             return
-        existing = self._backends.get(running[0])
+        existing = self._backends.get(running.server)
         if existing is not None:
             existing[1].cancel(request_id)
 
@@ -440,7 +465,9 @@
         except MonsoonlugError as error:
             if isinstance(error, OutcomeUnknown):
                 outcome = Outcome.ABANDONED
-            if isinstance(error, ConnectionLost) and await self._is_gone(server):
+            if self._running[request.request_id].is_given_up:
+                error = ServerUnreachable()
+            elif isinstance(error, ConnectionLost) and await self._is_gone(server):
                 error = ServerCrashed()
                 outcome = Outcome.UNREACHED
             self._log_failure(job, server, error)
@@ -457,11 +484,62 @@
             queue.finish(
                 self._clock(), request.request_id, server, outcome, slowdown=slowdown
             )
+            if outcome is Outcome.UNREACHED:
+                self._watch_server(server, queue)
             self.process_queues()
 
     async def _is_gone(self, server: ServerId) -> bool:
+        result = await self._try_connect(server, CRASH_CHECK_TIMEOUT)
+        return result is ConnectResult.REFUSED
+
+    async def _try_connect(
+        self, server: ServerId, timeout: float
+    ) -> ConnectResult | None:
+        """Returns the result of connecting to a server, or None if it has left."""
         existing = self._backends.get(server)
-        return existing is not None and await existing[1].is_process_gone()
+        return None if existing is None else await existing[1].try_connect(timeout)
+
+    def check_silent_servers(self) -> None:
+        """Starts to check servers whose responses are overdue."""
+        now = self._clock()
+        for queue in self._queues.values():
+            for server in queue.find_silent_servers(now):
+                checked_at = self._checked_at.get(server, -math.inf)
+                if now - checked_at > SILENCE_CHECK_INTERVAL:
+                    self._checked_at[server] = now
+                    self._watch_server(server, queue)
+
+    def _watch_server(self, server: ServerId, queue: ServerQueue) -> None:
+        if server in self._watches:
+            return
+        watch = asyncio.create_task(self._run_watch(server, queue))
+        self._watches[server] = watch
+        watch.add_done_callback(lambda _: self._watches.pop(server, None))
+
+    async def _run_watch(self, server: ServerId, queue: ServerQueue) -> None:
+        """Pauses sending to a server until this host can connect to it."""
+        while True:
+            result = await self._try_connect(server, REACHABILITY_TIMEOUT)
+            if result in (ConnectResult.ACCEPTED, None):
+                queue.mark_reachable(self._clock(), server)
+                self.process_queues()
+                return
+            queue.mark_unreachable(self._clock(), server)
+            if result is ConnectResult.NO_ANSWER:
+                self._give_up_requests(server)
+            self.process_queues()
+            await asyncio.sleep(REACHABILITY_CHECK_INTERVAL)
+
+    def _give_up_requests(self, server: ServerId) -> None:
+        """Cancels requests without a response that another gate may send again."""
+        existing = self._backends.get(server)
+        for request_id, attempt in self._running.items():
+            job = attempt.job
+            if attempt.server != server or job.has_response or not job.head.idempotent:
+                continue
+            attempt.is_given_up = True
+            if existing is not None:
+                existing[1].cancel(request_id)
 
     async def _send_request(
         self, queue: ServerQueue, job: Job, server: ServerId
@@ -503,7 +581,9 @@
 
     async def _close_backend(self, server: ServerId, backend: BackendProtocol) -> None:
         # Requests that are still running on a removed server may complete.
-        running = [task for name, task in self._running.values() if name == server]
+        running = [
+            item.task for item in self._running.values() if item.server == server
+        ]
         if running:
             await asyncio.wait(running, timeout=STOP_TIMEOUT)
         await backend.close()
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -18,7 +18,12 @@
     decode_announcement,
     encode_answer,
 )
-from monsoonlug.backend import BackendProtocol, BackendRequest, BackendResponse
+from monsoonlug.backend import (
+    BackendProtocol,
+    BackendRequest,
+    BackendResponse,
+    ConnectResult,
+)
 from monsoonlug.exceptions import (
     BackendFenced,
     BackendRefused,
@@ -41,7 +46,6 @@
 # Share of the time until the deadline. A connect timeout before the deadline still
 # proves that nothing was sent.
 CONNECT_TIMEOUT_SHARE = 0.9
-CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
 PROBE_TIMEOUT = 0.5  # seconds until the response to a probe
 KEEPALIVE_TIMEOUT = 60.0  # seconds
 KEEPALIVE_TIMEOUT_SHARE = 0.6  # of the Keep-Alive timeout that the server announces
@@ -195,18 +199,18 @@
             raise OutcomeUnknown("no response to a probe") from None
         return slowdown
 
-    async def is_process_gone(self) -> bool:
-        """Opens a connection to find out; see `BackendProtocol.is_process_gone`."""
+    async def try_connect(self, timeout: float) -> ConnectResult:
+        """Opens and closes a connection; see `BackendProtocol.try_connect`."""
         host, port = split_address(self.address)
         try:
-            async with asyncio.timeout(CRASH_CHECK_TIMEOUT):
+            async with asyncio.timeout(timeout):
                 _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
-            return True
+            return ConnectResult.REFUSED
         except OSError:  # includes the timeout
-            return False
+            return ConnectResult.NO_ANSWER
         writer.close()
-        return False
+        return ConnectResult.ACCEPTED
 
     def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
         """Returns the slowdown that a response reports, or None if it reports none."""
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -43,6 +43,7 @@
         self.peer = peer
         self.deadline = deadline
         self.ended = False
+        self.has_response = False
         self._body_parts: asyncio.Queue[_BodyPart | None] = asyncio.Queue()
         self._unread_bytes = 0
         self._sent_bytes = 0
@@ -174,6 +175,7 @@
         )
         body = self.iterate_body() if head.has_body else None
         response = await backend.send(message, body)
+        self.has_response = True
         on_head()
         try:
             body = response.read_whole(MAX_CHUNK_BYTES)
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from monsoonlug.exceptions import (
+    ConnectFailed,
     DeadlineExceeded,
     MonsoonlugError,
     NotGate,
@@ -58,6 +59,8 @@
 BASE_LATENCY_WEIGHT = 0.05  # of one response in a server's mean service time
 MAX_REPORT_AGE = 1.0  # seconds for which an idle server is reported after a probe
 RECONNECT_DELAY = 0.5  # seconds until an unreachable server is tried again
+MIN_SILENCE = 0.3  # seconds without a response until a server may be silent
+SILENCE_FACTOR = 2.5  # times the expected service time; the same for slow requests
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
 
 
@@ -186,6 +189,7 @@
     slowdown: float = 1.0
     slowdown_reported_at: float = -math.inf
     next_cold_send: float = 0.0
+    last_response_at: float = -math.inf
     running: dict[RequestId, _RunningRequest] = field(default_factory=dict)
     queues: list[FairQueue] = field(
         default_factory=lambda: [FairQueue() for _ in RequestClass]
@@ -331,7 +335,7 @@
             self._record_arrival(now, self._servers[server], request)
             down_for = self._servers[server].unreachable_until - now
             if down_for > 0:
-                return _refuse_overloaded(down_for)
+                return Refusal(error=ConnectFailed, retry_after=down_for)
         if now >= request.deadline:
             return Refusal(error=DeadlineExceeded)
         wait, service_time = self._predict(now, request, server)
@@ -391,6 +395,8 @@
         latency = now - running.started_at
         state.slowdown = slowdown
         state.slowdown_reported_at = now
+        if outcome in (Outcome.ANSWERED, Outcome.SHED):
+            state.last_response_at = now
         if outcome is Outcome.UNREACHED:
             self._mark_unreachable(now, state)
         if outcome is Outcome.ANSWERED:
@@ -467,12 +473,35 @@
                 utilization=work / (UTILIZATION_WINDOW * server.slots),
             )
 
+    def find_silent_servers(self, now: float) -> Iterator[ServerId]:
+        """Yields servers whose responses are overdue."""
+        for server in self._servers.values():
+            if not server.running:
+                continue
+            oldest = min(server.running.values(), key=lambda item: item.started_at)
+            since = max(oldest.started_at, server.last_response_at)
+            if now - since > max(MIN_SILENCE, SILENCE_FACTOR * oldest.estimate):
+                yield server.name
+
+    def mark_unreachable(self, now: float, server: ServerId) -> None:
+        """Pauses sending to a server that this host cannot connect to."""
+        state = self._servers.get(server)
+        if state is not None:
+            self._mark_unreachable(now, state)
+
+    def mark_reachable(self, now: float, server: ServerId) -> None:
+        """Ends the pause of a server that this host can connect to again."""
+        state = self._servers.get(server)
+        if state is not None:
+            state.unreachable_until = now
+
     def _mark_unreachable(self, now: float, server: _ServerState) -> None:
         """Refuses the requests that wait for a server and pauses sending to it."""
         server.unreachable_until = now + RECONNECT_DELAY
         for request, only_server in list(self._waiting.values()):
             if only_server == server.name:
-                self._refuse(request, _refuse_overloaded(RECONNECT_DELAY))
+                refusal = Refusal(error=ConnectFailed, retry_after=RECONNECT_DELAY)
+                self._refuse(request, refusal)
 
     def _record_arrival(
         self, now: float, server: _ServerState, request: QueuedRequest
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -11,7 +11,33 @@
 
 import pytest
 
-from monsoonlug.ids import SLICE_COUNT
+from monsoonlug.dispatch import (
+    MAX_UNREACHED,
+    AttemptFailed,
+    Attempts,
+    Begin,
+    DropCounts,
+    Refuse,
+    Retry,
+    RetryBudget,
+    Sending,
+    TimerFired,
+)
+from monsoonlug.exceptions import ConnectFailed, ProcessGone, ServerUnreachable
+from monsoonlug.fairness import QueuedRequest
+from monsoonlug.fleet_targets import UNREACHED_TIME, FleetTargetFinder
+from monsoonlug.gate import Outcome
+from monsoonlug.gatehost import ClosingTimes, GateId, LiveHost
+from monsoonlug.ids import SLICE_COUNT, Ran, RequestClass
+from monsoonlug.serverqueue import (
+    DEFAULT_SERVICE_TIME,
+    MIN_SILENCE,
+    SILENCE_FACTOR,
+    ServerQueue,
+    ServiceTimeModel,
+)
+from monsoonlug.subscription import KeyBlocks
+from monsoonlug.targets import Target
 from tests.platform_fleet import UNSAFE_PREFIX, Cut, PlatformFleet
 
 RATE = 200  # requests per second to all entries
@@ -106,3 +132,113 @@
         for at_cut, at_others in shares.values():
             assert at_cut >= MIN_SERVED_RATIO * at_others
             assert at_others >= MIN_SERVED_RATIO
+
+
+class Finder:
+    """A target finder with a gate in the failure domain west, in virtual time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.finder = FleetTargetFinder(
+            clock=lambda: self.now,
+            random=Random(1),
+            host="e1",
+            failure_domain="east",
+            is_reachable=lambda host: True,
+            blocks=KeyBlocks(),
+            closing_times=ClosingTimes(),
+        )
+        hosts = []
+        for name, domain in (("w1", "west"), ("w2", "west"), ("e1", "east")):
+            hosts.append(LiveHost(host=name, failure_domain=domain, stream=name))
+        self.finder.update_hosts(hosts)
+        self.gate = GateId(pool="desk", name="s1", failure_domain="west")
+
+    def choose(self):
+        return self.finder._choose_host(self.gate)
+
+    def fail(self, host, error=ConnectFailed):
+        target = Target(
+            host=host,
+            server=self.gate.name,
+            gate_epoch=0,
+            revision=1,
+            pool=self.gate.pool,
+        )
+        self.finder.record_failure(target, error)
+
+
+@pytest.mark.parametrize("error", [ConnectFailed, ProcessGone, ServerUnreachable])
+def test_host_that_cannot_reach_a_server_is_avoided(error):
+    """Guards against requests for a gate whose host is cut from the server.
+
+    A host of another failure domain takes over, as all of this one may be cut.
+    """
+    finder = Finder()
+    first = finder.choose()
+    assert first in ("w1", "w2")
+    finder.fail(first, error)
+    assert finder.choose() == "e1"
+    finder.now += UNREACHED_TIME + 0.01
+    assert finder.choose() == first
+
+
+def test_server_that_no_host_reaches_stays_with_its_gate():
+    """Guards against a search through all hosts for a server that has ended."""
+    finder = Finder()
+    first = finder.choose()
+    for host in ("w1", "w2", "e1"):
+        finder.fail(host)
+    assert finder.choose() == first
+
+
+def test_unreached_server_is_refused_after_a_few_gates():
+    """Guards against requests that wait for a server that no host reaches."""
+    attempts = Attempts(
+        request_id="r",
+        idempotent=False,
+        pooled=False,
+        deadline=60.0,
+        budget=RetryBudget(available=0.0),
+        drops=DropCounts(),
+        random=Random(1),
+    )
+    attempts.decide(0.0, Begin())
+    now = 0.0
+    for _ in range(MAX_UNREACHED):
+        attempts.decide(now, Sending(attempt=attempts.attempt))
+        failure = AttemptFailed(
+            attempt=attempts.attempt,
+            request_id="r",
+            error=ConnectFailed,
+            ran=Ran.NOT_RUN,
+            retry_after=0.5,
+        )
+        action = attempts.decide(now, failure)
+        if isinstance(action, Retry):
+            now = action.at
+            attempts.decide(now, TimerFired())
+    assert isinstance(action, Refuse)
+    assert action.refusal.ran is Ran.NOT_RUN
+    assert action.refusal.retry_after == 0.5
+    assert now < 0.2
+
+
+def test_silent_server_is_found_by_overdue_responses():
+    """Guards against requests that hang at a cut server until their deadline."""
+    queue = ServerQueue(model=ServiceTimeModel())
+    queue.set_server("s1", slots=2, cold_rate=0.0)
+    for number, at in enumerate((0.0, 0.1)):
+        request = QueuedRequest(
+            request_id=f"r{number}",
+            workspace="w",
+            request_class=RequestClass.NORMAL,
+            deadline=5.0,
+        )
+        assert queue.enqueue(at, request, "s1") is None
+        assert len(queue.dequeue(at)) == 1
+    overdue = max(MIN_SILENCE, SILENCE_FACTOR * DEFAULT_SERVICE_TIME) + 0.01
+    assert list(queue.find_silent_servers(overdue - 0.1)) == []
+    assert list(queue.find_silent_servers(overdue)) == ["s1"]
+    queue.finish(overdue, "r1", "s1", Outcome.ANSWERED)
+    assert list(queue.find_silent_servers(overdue + 0.1)) == []
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -35,7 +35,9 @@
     "folder-copied",
     "membership-refused",
     "command-too-large",
-    "server-crashed",  # attempts fail with it; callers see outcome-unknown
+    # Attempts fail with these; callers see outcome-unknown.
+    "server-crashed",
+    "server-unreachable",
     "unknown-window",
     "unknown-report-route",
 }
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from monsoonlug.exceptions import NotGate, Overloaded, ServerDraining
+from monsoonlug.exceptions import ConnectFailed, NotGate, Overloaded, ServerDraining
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import RequestClass
@@ -162,7 +162,8 @@
     gate.advance(0.15, outcome=Outcome.UNREACHED)
     assert waiting in [request_id for request_id, _ in gate.refused]
     _, refusal = gate.add(server="a", deadline=2.0)
-    assert refusal.error is Overloaded
+    assert refusal.error is ConnectFailed
+    assert 0 < refusal.retry_after <= RECONNECT_DELAY
     gate.advance(RECONNECT_DELAY + 0.1)
     _, refusal = gate.add(server="a", deadline=2.0)
     assert refusal is None
