Take refused connections for a crash only if another server is reachable

Cause: a host that is partitioned from the servers sees what it sees when their processes end, and blocked what was running as if it had crashed them.

Change: after a refused connection the host tries up to four other servers, and reports a crash only if one accepts.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -134,6 +134,7 @@
             clock=read_clock,
             closing_times=self._closing_times,
             open_backend=self._open_backend,
+            random=random,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
+from random import Random
 
 import xxhash
 
@@ -58,6 +59,7 @@
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
+CRASH_CHECK_SERVERS = 4  # others, of which one must be reachable
 REACHABILITY_TIMEOUT = 0.25  # seconds until a server that accepts no connection is cut
 REACHABILITY_CHECK_INTERVAL = 0.15  # seconds between two checks of such a server
 SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
@@ -194,6 +196,7 @@
         clock: Monotonic clock, in seconds.
         open_backend: Returns the client of a server.
         closing_times: Closing times of servers out of service; updated by their owner.
+        random: Source of the choice of servers to check.
     """
 
     def __init__(
@@ -202,7 +205,9 @@
         clock: Callable[[], float],
         closing_times: ClosingTimes,
         open_backend: Callable[[FleetServer, PoolItem], BackendProtocol],
+        random: Random | None = None,
     ):
+        self._random = random or Random()
         self._clock = clock
         self._open_backend = open_backend
         self._view = FleetView()
@@ -489,8 +494,20 @@
             self.process_queues()
 
     async def _is_gone(self, server: ServerId) -> bool:
+        """Returns whether the process of a server ended.
+
+        A partition may refuse connections, too, so another server must be reachable.
+        """
         result = await self._try_connect(server, CRASH_CHECK_TIMEOUT)
-        return result is ConnectResult.REFUSED
+        if result is not ConnectResult.REFUSED:
+            return False
+        others = [name for name in self._view.servers if name != server]
+        sample = self._random.sample(others, min(len(others), CRASH_CHECK_SERVERS))
+        checks = []
+        for name in sample:
+            self._get_backend(name)
+            checks.append(self._try_connect(name, CRASH_CHECK_TIMEOUT))
+        return ConnectResult.ACCEPTED in await asyncio.gather(*checks)
 
     async def _try_connect(
         self, server: ServerId, timeout: float
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,7 @@
     RequestState,
 )
 from tests.platform_fleet import PlatformFleet
+from tests.test_request_limits import build_gate_host, build_head
 
 DEADLY_PATH = "/lookup/deadly"
 DEADLY_BODY = b"deadly"
@@ -196,3 +197,52 @@
     assert len(tracker._suspects) <= 1000
     assert list(tracker.take_verdicts(200.0))
     assert tracker.is_idle
+
+
+class RecordingPeer:
+    """Takes the frames of a gate."""
+
+    def __init__(self):
+        self.frames = []
+        self.ended = asyncio.Event()
+
+    def send(self, message):
+        self.frames.append(message)
+        self.ended.set()
+
+
+async def lose_connection(*, is_other_reachable):
+    """Returns the error code of a request whose server resets and then refuses."""
+    listeners = []
+
+    async def crash(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        listeners[0].close()
+        writer.transport.abort()
+
+    async def accept(reader, writer):
+        writer.close()
+
+    listeners.append(await asyncio.start_server(crash, "127.0.0.1", 0))
+    listeners.append(await asyncio.start_server(accept, "127.0.0.1", 0))
+    ports = [listener.sockets[0].getsockname()[1] for listener in listeners]
+    if not is_other_reachable:
+        listeners[1].close()
+    gate_host = build_gate_host(*ports)
+    peer = RecordingPeer()
+    try:
+        gate_host.receive(peer, build_head(1))
+        await asyncio.wait_for(peer.ended.wait(), 5.0)
+    finally:
+        await gate_host.stop()
+        listeners[1].close()
+    return peer.frames[0].code
+
+
+async def test_host_that_reaches_no_server_reports_no_crash():
+    """Guards against blocked requests at a host that is cut from all servers.
+
+    A cut may reset connections and refuse new ones, like the end of a process.
+    """
+    assert await lose_connection(is_other_reachable=True) == "server-crashed"
+    assert await lose_connection(is_other_reachable=False) == "outcome-unknown"
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -76,23 +76,26 @@
         pass
 
 
-def build_gate_host(port):
+def build_gate_host(*ports):
+    """Returns a gate host with a server at each port, the first one named SERVER."""
     gate_host = GateHost(
         clock=read_clock, closing_times=ClosingTimes(), open_backend=open_backend
     )
     view = FleetView()
     view.items._items[ItemKind.POOL, "desk"] = POOL
-    record = FleetServer(
-        server=SERVER,
-        born=1,
-        pool="desk",
-        address=f"127.0.0.1:{port}",
-        failure_domain="east",
-        slots=2,
-        draining=False,
-    )
-    view.servers = {SERVER: record}
-    gate_host.update(view, {build_gate_id(record): [record]})
+    for number, port in enumerate(ports):
+        name = f"s{number + 1}"
+        view.servers[name] = FleetServer(
+            server=name,
+            born=1,
+            pool="desk",
+            address=f"127.0.0.1:{port}",
+            failure_domain="east",
+            slots=2,
+            draining=False,
+        )
+    records = view.servers.values()
+    gate_host.update(view, {build_gate_id(record): [record] for record in records})
     return gate_host
 
 
