Refuse at once at a gate that reaches none of its servers

Cause: requests for any server of a pool were queued although every server of the gate was unreachable, as the next attempt was always 0.5 s away. Change: such a gate refuses them, and those that wait, with connect-failed, so that another gate gets them.

--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -336,6 +336,10 @@
             down_for = self._servers[server].unreachable_until - now
             if down_for > 0:
                 return Refusal(error=ConnectFailed, retry_after=down_for)
+        if server is None:
+            down_for = self._find_outage(now)
+            if down_for > 0:
+                return Refusal(error=ConnectFailed, retry_after=down_for)
         if now >= request.deadline:
             return Refusal(error=DeadlineExceeded)
         wait, service_time = self._predict(now, request, server)
@@ -498,11 +502,16 @@
     def _mark_unreachable(self, now: float, server: _ServerState) -> None:
         """Refuses the requests that wait for a server and pauses sending to it."""
         server.unreachable_until = now + RECONNECT_DELAY
+        is_outage = self._find_outage(now) > 0
         for request, only_server in list(self._waiting.values()):
-            if only_server == server.name:
+            if only_server == server.name or (only_server is None and is_outage):
                 refusal = Refusal(error=ConnectFailed, retry_after=RECONNECT_DELAY)
                 self._refuse(request, refusal)
 
+    def _find_outage(self, now: float) -> float:
+        """Returns for how many seconds no server of the gate is tried; 0 if one is."""
+        return min(item.unreachable_until for item in self._servers.values()) - now
+
     def _record_arrival(
         self, now: float, server: _ServerState, request: QueuedRequest
     ) -> None:
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -169,6 +169,24 @@
     assert refusal is None
 
 
+def test_gate_that_reaches_no_server_refuses_at_once():
+    """Guards against requests that wait at a gate whose servers are all unreachable.
+
+    Another gate can send them, as long as they are told from lost ones.
+    """
+    gate = SimulatedGate("a", "b")
+    for _ in range(6):
+        gate.add(deadline=2.0)
+    gate.advance(0.15, outcome=Outcome.UNREACHED)
+    assert len(gate.refused) == 2
+    _, refusal = gate.add(deadline=2.0)
+    assert refusal.error is ConnectFailed
+    assert 0 < refusal.retry_after <= RECONNECT_DELAY
+    gate.advance(RECONNECT_DELAY)
+    _, refusal = gate.add(deadline=2.0)
+    assert refusal is None
+
+
 def test_nothing_is_sent_to_a_closed_server():
     """Guards against new requests to a server whose leave was acknowledged."""
     gate = SimulatedGate("a")
