Lift a request limit only by a response of the server

Cause: the gate read the limit of the last response after each request, also after one without any response. A host that had learned a limit from control and lost its first request lifted the limit, and reported that to control, so LIMIT could be broken at all hosts. Found while reading the change.

Change: the limit is read when the head of a response arrives, or a refusal.

Result: test_lost_request_does_not_lift_a_limit fails before and passes.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -462,6 +462,7 @@
             job.fail(error)
         except (BackendRefused, BackendFenced) as error:
             outcome = Outcome.SHED
+            self._update_request_limit(server)
             self._log_failure(job, server, error)
             job.fail(error)
         except StreamClosed:
@@ -485,7 +486,6 @@
             del self._running[request.request_id]
             existing = self._backends.get(server)
             slowdown = existing[1].slowdown if existing is not None else 1.0
-            self._update_request_limit(server)
             queue.finish(
                 self._clock(), request.request_id, server, outcome, slowdown=slowdown
             )
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -168,6 +168,30 @@
     assert len(limiting.arrivals) >= LIMIT * SECONDS - 2
 
 
+async def test_lost_request_does_not_lift_a_limit():
+    """Guards against a host that lifts a limit without a response of the server.
+
+    It learned the limit from control, and has no response of its own yet.
+    """
+    listener = await asyncio.start_server(lose_connection, "127.0.0.1", 0)
+    gate_host = build_gate_host(listener.sockets[0].getsockname()[1])
+    gate_host.apply_request_limit(SERVER, LIMIT, 1)
+    try:
+        gate_host.receive(SilentPeer(), build_head(1))
+        while gate_host.running:
+            await asyncio.sleep(INTERVAL)
+    finally:
+        await gate_host.stop()
+        listener.close()
+    assert gate_host.limited_servers == 1
+    assert gate_host.list_request_limits() == []
+
+
+async def lose_connection(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+
+
 async def test_hosts_that_send_to_one_server_share_its_limit():
     """Guards against two entries that each use the whole limit of a server.
 
