Ask only servers with gates whether a lost connection was a crash

Cause: control keeps a record without a pool of a server that left before its first heartbeat. The check of a crash could draw it among the other servers, and ended with an AttributeError instead of a response to the entry, whose caller waited until its deadline.

Change: only servers that have a gate are drawn.

Result: test_server_without_a_pool_is_not_asked fails before and passes.

--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -32,10 +32,11 @@
 RETRY_RATIO = 0.1  # retries per request, on average
 RETRY_BURST = 10.0  # retries that may be sent in a burst
 INITIAL_BACKOFF = 0.010  # seconds; doubles with each attempt
+# The gate could not connect to the backend server; another gate may be able to.
+UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
 # A request that fails with one of these put no load on a backend server, so a retry
 # does not count against the retry budget. When many keys move at once, the budget would
 # otherwise run out and refuse requests that the new owner can serve.
-UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
 REROUTABLE_ERRORS = UNREACHED_ERRORS | {
     BackendFenced,
     LeaseOver,
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -501,7 +501,9 @@
         result = await self._try_connect(server, CRASH_CHECK_TIMEOUT)
         if result is not ConnectResult.REFUSED:
             return False
-        others = [name for name in self._view.servers if name != server]
+        others = []
+        for _, records in self._gates.values():
+            others += [item.server for item in records if item.server != server]
         sample = self._random.sample(others, min(len(others), CRASH_CHECK_SERVERS))
         checks = []
         for name in sample:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Tests of requests that crash each backend server that runs them."""
 
 import asyncio
+import dataclasses
 import itertools
 import time
 from collections import Counter
@@ -211,7 +212,7 @@
         self.ended.set()
 
 
-async def lose_connection(*, is_other_reachable):
+async def lose_connection(*, is_other_reachable, has_unknown_server=False):
     """Returns the error code of a request whose server resets and then refuses."""
     listeners = []
 
@@ -229,6 +230,10 @@
     if not is_other_reachable:
         listeners[1].close()
     gate_host = build_gate_host(*ports)
+    if has_unknown_server:
+        record = gate_host._view.servers["s2"]
+        left = dataclasses.replace(record, server="s3", pool="", address="s3")
+        gate_host._view.servers["s3"] = left
     peer = RecordingPeer()
     try:
         gate_host.receive(peer, build_head(1))
@@ -246,3 +251,9 @@
     """
     assert await lose_connection(is_other_reachable=True) == "server-crashed"
     assert await lose_connection(is_other_reachable=False) == "outcome-unknown"
+
+
+async def test_server_without_a_pool_is_not_asked():
+    """Guards against an attempt that never ends, after a leave of an unknown server."""
+    code = await lose_connection(is_other_reachable=True, has_unknown_server=True)
+    assert code == "server-crashed"
