Do not keep a slow server idle for an unreachable one

Change: a server that is unreachable is not waited for.

Result: test_request_does_not_wait_for_an_unreachable_server fails before and passes.

--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -626,7 +626,7 @@
         best = min(ready, key=lambda item: self._rank_server(now, item))
         best_time = self._service_model.estimate("", best.name) * best.get_slowdown(now)
         for other in self._servers.values():
-            if other in ready or other.is_cold(now):
+            if other in ready or other.is_cold(now) or now < other.unreachable_until:
                 continue
             wait = self._estimate_wait(now, other, 0.0, 0.0)
             service_time = self._service_model.estimate(
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -187,6 +187,16 @@
     assert refusal is None
 
 
+def test_request_does_not_wait_for_an_unreachable_server():
+    """Guards against a slow server left idle for a fast one that is unreachable."""
+    gate = SimulatedGate("fast", "slow")
+    for server, service_time in (("fast", 0.1), ("slow", 0.9)) * 10:
+        gate.model.record("lookup", server, service_time)
+    gate.queue.mark_unreachable(gate.now, "fast")
+    gate.add(deadline=2.0)
+    assert [server for _, _, server in gate.started] == ["slow"]
+
+
 def test_nothing_is_sent_to_a_closed_server():
     """Guards against new requests to a server whose leave was acknowledged."""
     gate = SimulatedGate("a")
