--- a/src/monsoonlug/crash_tracking.py
+++ b/src/monsoonlug/crash_tracking.py
@@ -14,7 +14,6 @@
 from monsoonlug.ids import Fingerprint, WorkspaceId
 
 MAX_FINGERPRINT_BODY = 65_536  # bytes of the body that count
-HEAD_LENGTH = 16  # characters of a fingerprint that do not depend on the body
 MAX_CRASHES = 2  # servers that a request may crash until it is blocked
 SAME_CRASH_TIME = 0.5  # seconds within which losses at one gate are one crash
 SUSPICION_TIME = 60.0  # seconds from a crash until it no longer counts
