Log the failed attempts of each request, and servers out of reach

Cause: a refused request named only the last host that it was sent to, and a gate that refuses from memory writes no line. Whether entries tried the same host again or several that were all cut could not be told from the logs.

Change: the lines of a request name its failed attempts (server, host, code). A gate logs when a server cannot be reached, and after how long it can again.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -96,6 +96,10 @@
         attempts: State machine of the request's attempts.
         request: The caller's request.
         on_prepare: Called with the response before its headers are sent.
+
+    Attributes:
+        sent_to: Server and host of the last attempt, or an empty string.
+        failures: Server, host and error code of each attempt that failed at a gate.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         self._request_id = request_id
         self._deadline = deadline
         self.sent_to = ""
+        self.failures: list[str] = []
         self._attempts = attempts
         self._request = request
         self._on_prepare = on_prepare
@@ -359,6 +364,7 @@
                 )
             case RequestFailed():
                 self._outcome = _classify_failure(frame)
+                self.failures.append(f"{self.sent_to}: {frame.code}")
                 if find_error(frame.code) is ServerCrashed:
                     self._record_crash()
                 self._context.finder.record_failure(
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -537,12 +537,21 @@
 
     async def _run_watch(self, server: ServerId, queue: ServerQueue) -> None:
         """Pauses sending to a server until this host can connect to it."""
+        unreachable_since = None
         while True:
             result = await self._try_connect(server, REACHABILITY_TIMEOUT)
             if result in (ConnectResult.ACCEPTED, None):
+                if unreachable_since is not None:
+                    seconds = self._clock() - unreachable_since
+                    logger.info(
+                        "Server {} is reachable after {:.2f} s.", server, seconds
+                    )
                 queue.mark_reachable(self._clock(), server)
                 self.process_queues()
                 return
+            if unreachable_since is None:
+                unreachable_since = self._clock()
+                logger.warning("Server {} is not reachable: {}.", server, result.value)
             queue.mark_unreachable(self._clock(), server)
             if result is ConnectResult.NO_ANSWER:
                 self._give_up_requests(server)
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -420,6 +420,7 @@
             workspace=(context.request.workspace or "") if context else "",
             milliseconds=round(1000 * (self._clock() - started)),
             sent_to=delivery.sent_to if delivery else "",
+            failures=delivery.failures if delivery else [],
             revision=self._subscription.view.revision,
             view_age=round(min(self._subscription.get_view_age(), MAX_LOGGED_AGE), 3),
         )
