--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -134,6 +134,39 @@
             assert at_others >= MIN_SERVED_RATIO
 
 
+@pytest.mark.parametrize("how", Cut)
+async def test_callers_are_served_while_most_entries_are_cut(tmp_path, how):
+    """Guards against requests that are tried only at cut hosts and then refused.
+
+    Four of five entries are cut, all of one failure domain among them.
+    """
+    async with PlatformFleet(
+        tmp_path,
+        entries=("east", "east", "west", "west", "west"),
+        servers=("east", "east", "west", "west", "west", "west"),
+        proxied=True,
+        keyed=True,
+    ) as fleet:
+        load = Load(fleet)
+        task = asyncio.create_task(load.run())
+        await asyncio.sleep(1.0)
+        cut = fleet.entries[1:]
+        await asyncio.gather(*(fleet.cut(entry, how) for entry in cut))
+        since = time.monotonic() + SETTLING_TIME
+        await asyncio.sleep(CUT_SECONDS)
+        until = time.monotonic()
+        await asyncio.gather(*(fleet.heal(entry) for entry in cut))
+        await asyncio.sleep(HEAL_SECONDS)
+        task.cancel()
+        await asyncio.sleep(1.0)
+        counts = load.count(since, until)
+        at_cut = compute_share(counts, [entry.name for entry in cut])
+        at_other = compute_share(counts, [fleet.entries[0].name])
+        print({name: dict(count) for name, count in sorted(counts.items())})
+        assert at_other >= MIN_SERVED_RATIO
+        assert at_cut >= MIN_SERVED_RATIO * at_other
+
+
 class Finder:
     """A target finder with a gate in the failure domain west, in virtual time."""
 
