Move the checks of servers' reachability into a module of their own

Change: ReachabilityMonitor checks servers and reports to the gate host, which updates all queues. A server without a client gets one for a check.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -49,6 +49,7 @@
 from monsoonlug.jobs import POOLED, Job, JobTable
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import RequestHead
+from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
 from monsoonlug.serverqueue import ServerQueue, ServiceTimeModel
 
@@ -58,11 +59,6 @@
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
-CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
-CRASH_CHECK_SERVERS = 4  # others, of which one must be reachable
-REACHABILITY_TIMEOUT = 0.25  # seconds until a server that accepts no connection is cut
-REACHABILITY_CHECK_INTERVAL = 0.15  # seconds between two checks of such a server
-SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 
 logger = get_logger("gate")
@@ -207,7 +203,6 @@
         open_backend: Callable[[FleetServer, PoolItem], BackendProtocol],
         random: Random | None = None,
     ):
-        self._random = random or Random()
         self._clock = clock
         self._open_backend = open_backend
         self._view = FleetView()
@@ -220,8 +215,14 @@
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
         self._running: dict[RequestId, _Attempt] = {}
-        self._watches: dict[ServerId, asyncio.Task] = {}
-        self._checked_at: dict[ServerId, float] = {}
+        self._reachability = ReachabilityMonitor(
+            clock=clock,
+            random=random or Random(),
+            connect=self._try_connect,
+            list_servers=self._list_gate_servers,
+            on_unreachable=self._handle_unreachable,
+            on_reachable=self._handle_reachable,
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._close_tasks: set[asyncio.Task] = set()
 
@@ -337,8 +338,7 @@
 
     async def stop(self) -> None:
         """Waits for the running requests, then closes the connections to servers."""
-        for watch in self._watches.values():
-            watch.cancel()
+        self._reachability.stop()
         tasks = [attempt.task for attempt in self._running.values()]
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_TIMEOUT)
@@ -473,7 +473,9 @@
                 outcome = Outcome.ABANDONED
             if self._running[request.request_id].is_given_up:
                 error = ServerUnreachable()
-            elif isinstance(error, ConnectionLost) and await self._is_gone(server):
+            elif isinstance(
+                error, ConnectionLost
+            ) and await self._reachability.has_process_ended(server):
                 error = ServerCrashed()
                 outcome = Outcome.UNREACHED
             self._log_failure(job, server, error)
@@ -490,73 +492,40 @@
                 self._clock(), request.request_id, server, outcome, slowdown=slowdown
             )
             if outcome is Outcome.UNREACHED:
-                self._watch_server(server, queue)
+                self._reachability.check(server)
             self.process_queues()
 
-    async def _is_gone(self, server: ServerId) -> bool:
-        """Returns whether the process of a server ended.
-
-        A partition may refuse connections, too, so another server must be reachable.
-        """
-        result = await self._try_connect(server, CRASH_CHECK_TIMEOUT)
-        if result is not ConnectResult.REFUSED:
-            return False
-        others = []
-        for _, records in self._gates.values():
-            others += [item.server for item in records if item.server != server]
-        sample = self._random.sample(others, min(len(others), CRASH_CHECK_SERVERS))
-        checks = []
-        for name in sample:
-            self._get_backend(name)
-            checks.append(self._try_connect(name, CRASH_CHECK_TIMEOUT))
-        return ConnectResult.ACCEPTED in await asyncio.gather(*checks)
-
     async def _try_connect(
         self, server: ServerId, timeout: float
     ) -> ConnectResult | None:
         """Returns the result of connecting to a server, or None if it has left."""
-        existing = self._backends.get(server)
-        return None if existing is None else await existing[1].try_connect(timeout)
+        try:
+            backend = self._get_backend(server)
+        except NotGate:
+            return None
+        return await backend.try_connect(timeout)
 
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
         now = self._clock()
         for queue in self._queues.values():
             for server in queue.find_silent_servers(now):
-                checked_at = self._checked_at.get(server, -math.inf)
-                if now - checked_at > SILENCE_CHECK_INTERVAL:
-                    self._checked_at[server] = now
-                    self._watch_server(server, queue)
+                self._reachability.check_silent(server)
 
-    def _watch_server(self, server: ServerId, queue: ServerQueue) -> None:
-        if server in self._watches:
-            return
-        watch = asyncio.create_task(self._run_watch(server, queue))
-        self._watches[server] = watch
-        watch.add_done_callback(lambda _: self._watches.pop(server, None))
-
-    async def _run_watch(self, server: ServerId, queue: ServerQueue) -> None:
-        """Pauses sending to a server until this host can connect to it."""
-        unreachable_since = None
-        while True:
-            result = await self._try_connect(server, REACHABILITY_TIMEOUT)
-            if result in (ConnectResult.ACCEPTED, None):
-                if unreachable_since is not None:
-                    seconds = self._clock() - unreachable_since
-                    logger.info(
-                        "Server {} is reachable after {:.2f} s.", server, seconds
-                    )
-                queue.mark_reachable(self._clock(), server)
-                self.process_queues()
-                return
-            if unreachable_since is None:
-                unreachable_since = self._clock()
-                logger.warning("Server {} is not reachable: {}.", server, result.value)
+    def _handle_unreachable(self, server: ServerId, result: ConnectResult) -> None:
+        for queue in self._queues.values():
             queue.mark_unreachable(self._clock(), server)
-            if result is ConnectResult.NO_ANSWER:
-                self._give_up_requests(server)
-            self.process_queues()
-            await asyncio.sleep(REACHABILITY_CHECK_INTERVAL)
+        if result is ConnectResult.NO_ANSWER:
+            self._give_up_requests(server)
+        self.process_queues()
+
+    def _handle_reachable(self, server: ServerId) -> None:
+        for queue in self._queues.values():
+            queue.mark_reachable(self._clock(), server)
+        self.process_queues()
+
+    def _list_gate_servers(self) -> list[ServerId]:
+        return [item.server for _, records in self._gates.values() for item in records]
 
     def _give_up_requests(self, server: ServerId) -> None:
         """Cancels requests without a response that another gate may send again."""
@@ -600,9 +569,9 @@
         if existing is not None:
             return existing[1]
         record = self._view.servers.get(server)
-        if record is None:
+        pool = record and self._view.items.find(ItemKind.POOL, record.pool)
+        if pool is None:
             raise NotGate()
-        pool = self._view.items.find(ItemKind.POOL, record.pool)
         backend = self._open_backend(record, pool)
         self._backends[server] = (record, backend)
         return backend
