Report isolated hosts to entries, and serve their gates elsewhere

Cause: entries learned of a cut host for each gate on its own, and for 1 s. Three failures made them take the server for lost and forget the three hosts. Of 514 refusals, 270 had been sent to three cut hosts and 196 three times to one.

Change: a host that fails to connect checks the servers that it uses and three others. It reports to the entries which it cannot reach and whether it reaches any. Entries skip isolated hosts for all gates, isolated hosts refuse at once, and such attempts do not count against the server. A server that no host reaches is refused at once.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -367,15 +367,15 @@
                 self.failures.append(f"{self.sent_to}: {frame.code}")
                 if find_error(frame.code) is ServerCrashed:
                     self._record_crash()
-                self._context.finder.record_failure(
-                    self._target, find_error(frame.code)
-                )
+                finder = self._context.finder
+                finder.record_failure(self._target, find_error(frame.code))
                 return AttemptFailed(
                     attempt=attempt,
                     request_id=self._find_request_id(frame.request),
                     error=find_error(frame.code),
                     ran=Ran(frame.ran),
                     retry_after=frame.retry_after if frame.retry_after >= 0 else None,
+                    has_alternative=finder.has_alternative(self._target),
                 )
 
     def _record_crash(self) -> None:
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -9,6 +9,7 @@
     BackendRefused,
     ConnectFailed,
     DeadlineExceeded,
+    HostIsolated,
     LeaseOver,
     MonsoonlugError,
     NoOwner,
@@ -34,10 +35,11 @@
 INITIAL_BACKOFF = 0.010  # seconds; doubles with each attempt
 # The gate could not connect to the backend server; another gate may be able to.
 UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
+GATE_ERRORS = UNREACHED_ERRORS | {HostIsolated}
 # A request that fails with one of these put no load on a backend server, so a retry
 # does not count against the retry budget. When many keys move at once, the budget would
 # otherwise run out and refuse requests that the new owner can serve.
-REROUTABLE_ERRORS = UNREACHED_ERRORS | {
+REROUTABLE_ERRORS = GATE_ERRORS | {
     BackendFenced,
     LeaseOver,
     NoOwner,
@@ -116,6 +118,7 @@
     Attributes:
         ran: What is known about whether the request ran.
         retry_after: Seconds to wait before a retry, or None if unknown.
+        has_alternative: Whether a gate at another host may reach the server.
     """
 
     attempt: int
@@ -123,6 +126,7 @@
     error: type[MonsoonlugError]
     ran: Ran
     retry_after: float | None = None
+    has_alternative: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -394,14 +398,14 @@
             retriable = self._pooled
         if event.error in UNREACHED_ERRORS:
             self._unreached += 1
-            retriable = self._unreached < MAX_UNREACHED
+            retriable = self._unreached < MAX_UNREACHED and event.has_alternative
+        if event.error is HostIsolated:
+            retriable = event.has_alternative
         if event.error in (OutcomeUnknown, ServerCrashed, ServerUnreachable):
             retriable = self._idempotent
         if retriable and self._is_safe_to_repeat():
             # Another gate may send the request at once.
-            is_gate_specific = event.error is Overloaded or (
-                event.error in UNREACHED_ERRORS
-            )
+            is_gate_specific = event.error is Overloaded or event.error in GATE_ERRORS
             wait = 0.0 if is_gate_specific else event.retry_after
             is_rerouted = event.error in REROUTABLE_ERRORS and event.ran is Ran.NOT_RUN
             retry = self._retry(now, wait or 0.0, is_rerouted=is_rerouted)
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -256,6 +256,13 @@
     status = 503
 
 
+class HostIsolated(MonsoonlugError):
+    """The host of the gate reaches no backend server; nothing was sent."""
+
+    code = "host-isolated"
+    status = 503
+
+
 class OutcomeUnknown(MonsoonlugError):
     """The answer was lost after the request may have reached a backend server."""
 
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -20,7 +20,13 @@
 from monsoonlug.exchanges import ExchangeTable, LocalPeer, Peer
 from monsoonlug.failure_detector import CHECK_INTERVAL, FailureDetector
 from monsoonlug.fleet import FleetView, ViewPart
-from monsoonlug.fleet_messages import FleetServer, Ping, Pong
+from monsoonlug.fleet_messages import (
+    FleetServer,
+    HostReachability,
+    Ping,
+    Pong,
+    check_reachability,
+)
 from monsoonlug.fleet_targets import FleetTargetFinder
 from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
 from monsoonlug.host_links import HostLinks, StreamPeer
@@ -266,6 +272,16 @@
             "Servers at gates that limit their requests.",
             lambda: self._gate_host.limited_servers,
         )
+        add_gauge(
+            "isolated",
+            "Whether this host reaches no server.",
+            lambda: int(self._gate_host.is_isolated),
+        )
+        add_gauge(
+            "unreachable_servers",
+            "Servers that this host cannot connect to.",
+            lambda: self._gate_host.unreachable_servers,
+        )
         add_gauge(
             "blocked_requests",
             "Requests that crash servers and are blocked.",
@@ -295,6 +311,7 @@
         responses = LocalPeer(deliver=partial(self._receive_response, own))
         requests = LocalPeer(deliver=partial(self._gate_host.receive, responses))
         self._exchanges.add_peer(own, requests)
+        self._gate_host.add_peer(responses)
 
     def _open_host(self, host: HostId, peer: Peer) -> None:
         self._exchanges.add_peer(host, peer)
@@ -303,6 +320,7 @@
     def _close_host(self, host: HostId) -> None:
         self._exchanges.remove_peer(host)
         self._failure_detector.remove_host(host)
+        self._finder.remove_reachability(host)
 
     def _is_reachable(self, host: HostId) -> bool:
         if not self._exchanges.has_peer(host):
@@ -314,11 +332,20 @@
 
     def _receive_response(self, host: HostId, message: object) -> None:
         self._failure_detector.record_frame(host)
-        if not isinstance(message, Pong):
-            self._exchanges.receive(host, message)
+        match message:
+            case Pong():
+                return
+            case HostReachability():
+                check_reachability(message)
+                self._finder.update_reachability(
+                    host, message.is_isolated, message.unreachable
+                )
+            case _:
+                self._exchanges.receive(host, message)
 
     async def _serve_stream(self, stream: MessageStream) -> None:
         peer = StreamPeer(stream=stream)
+        self._gate_host.add_peer(peer)
         try:
             async for message in stream.iterate():
                 if isinstance(message, Ping):
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -344,6 +344,22 @@
     seconds: float
 
 
+@messages.register(243)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostReachability:
+    """Reports which backend servers the sending host cannot connect to.
+
+    It is sent to the entries with an open stream, after each change and on opening.
+
+    Attributes:
+        is_isolated: Whether the host reaches no server at all.
+        unreachable: Names of the servers that were found to be unreachable.
+    """
+
+    is_isolated: bool
+    unreachable: list
+
+
 _NUMBER = (int, float)
 
 
@@ -362,6 +378,16 @@
     check_wanted_tokens(heartbeat.wanted)
 
 
+def check_reachability(report: HostReachability) -> None:
+    """Checks the names in a report, which decoding leaves unchecked.
+
+    Raises:
+        DamagedFrame: If a name is not a string.
+    """
+    if not all(isinstance(server, str) for server in report.unreachable):
+        raise DamagedFrame("a server in unreachable is not a string")
+
+
 def check_wanted_tokens(wanted: dict) -> None:
     """Checks the tokens that an entry requests.
 
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -1,7 +1,7 @@
 """Selects the gate of a request in an announced fleet."""
 
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -9,6 +9,7 @@
 from monsoonlug.dispatch import MAX_UNREACHED, UNREACHED_ERRORS
 from monsoonlug.exceptions import BackendFenced, MonsoonlugError, ServerUnreachable
 from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import FleetServer
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import (
     ClosingTimes,
@@ -101,14 +102,23 @@
         self._hosts: list[LiveHost] = []
         self._ranked_hosts: dict[str, list[LiveHost]] = {}
         self._unreached: dict[str, dict[HostId, float]] = {}
+        self._isolated_hosts: set[HostId] = set()
+        self._unreachable: dict[HostId, frozenset[ServerId]] = {}
+        self._gate_ids: dict[str, GateId] = {}
+        self._gate_servers: dict[str, list[ServerId]] = {}
         self._loads: dict[str, GateLoad] = {}
 
-    def update_fleet(self, view: FleetView, gates: Iterable[GateId]) -> None:
+    def update_fleet(
+        self, view: FleetView, gates: Mapping[GateId, Iterable[FleetServer]]
+    ) -> None:
         """Applies a view with changed items or servers, and its gates."""
         self._fleet = view
         self._pool_gates = {}
-        names = {gate.name for gate in gates}
-        for name in set(self._unreached) - names:
+        self._gate_ids = {gate.name: gate for gate in gates}
+        self._gate_servers = {}
+        for gate, records in gates.items():
+            self._gate_servers[gate.name] = [item.server for item in records]
+        for name in set(self._unreached) - set(self._gate_servers):
             del self._unreached[name]
         for gate in gates:
             if gate.pool not in view.tables:
@@ -120,6 +130,26 @@
         self._ranked_hosts = {}
         self.wake_waiters()
 
+    def update_reachability(
+        self, host: HostId, is_isolated: bool, unreachable: Iterable[ServerId]
+    ) -> None:
+        """Applies what a host reports of its connections to backend servers.
+
+        Args:
+            host: The host.
+            is_isolated: Whether it reaches no server.
+            unreachable: Servers that it cannot connect to.
+        """
+        self._isolated_hosts.discard(host)
+        if is_isolated:
+            self._isolated_hosts.add(host)
+        self._unreachable[host] = frozenset(unreachable)
+
+    def remove_reachability(self, host: HostId) -> None:
+        """Forgets the reports of a host whose stream was lost."""
+        self._isolated_hosts.discard(host)
+        self._unreachable.pop(host, None)
+
     def find(
         self, admitted: AdmittedRequest, exclude: Collection[ServerId] = ()
     ) -> Target | None:
@@ -233,33 +263,73 @@
         penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
         return wait + penalty + TIE_RANGE * self._random.random()
 
+    def has_alternative(self, target: Target) -> bool:
+        """Returns whether a gate at another host may reach the server of a target."""
+        gate = self._gate_ids.get(target.server)
+        return gate is None or self._find_host(gate) is not None
+
     def _choose_host(self, gate: GateId) -> HostId:
+        host = self._find_host(gate)
+        if host is not None:
+            return host
+        for item in self._rank_hosts(gate):
+            if self._is_available(item.host):
+                return item.host
+        return self._host
+
+    def _find_host(self, gate: GateId) -> HostId | None:
+        """Returns the best host that may reach the servers of a gate.
+
+        There is none if several hosts cannot reach them, as the servers are at fault.
+        """
+        failed = self._list_unreached(gate)
+        failed_domains = set()
+        failures = 0
+        second_choice = None
+        for item in self._rank_hosts(gate):
+            if not self._is_available(item.host):
+                continue
+            if item.host in failed or self._reports_unreachable(item.host, gate):
+                failures += 1
+                if failures == MAX_UNREACHED:
+                    break
+                if item.host in failed:
+                    failed_domains.add(item.failure_domain)
+                continue
+            # A failure domain may be cut off as a whole.
+            if item.failure_domain not in failed_domains:
+                return item.host
+            second_choice = second_choice or item.host
+        return second_choice
+
+    def _rank_hosts(self, gate: GateId) -> list[LiveHost]:
         ranked = self._ranked_hosts.get(gate.name)
         if ranked is None:
             ranked = list(rank_hosts(gate, self._hosts))
             self._ranked_hosts[gate.name] = ranked
-        unreached = self._list_unreached(gate)
-        if unreached:
-            # Hosts of other failure domains first, as a domain may be cut off.
-            domains = {item.failure_domain for item in ranked if item.host in unreached}
-            others = [item for item in ranked if item.host not in unreached]
-            others.sort(key=lambda item: item.failure_domain in domains)
-            ranked = others + [item for item in ranked if item.host in unreached]
-        for item in ranked:
-            if item.host == self._host or self._is_reachable(item.host):
-                return item.host
-        return self._host
+        return ranked
+
+    def _is_available(self, host: HostId) -> bool:
+        """Returns whether a host accepts requests and reaches backend servers."""
+        if host in self._isolated_hosts:
+            return False
+        return host == self._host or self._is_reachable(host)
+
+    def _reports_unreachable(self, host: HostId, gate: GateId) -> bool:
+        unreachable = self._unreachable.get(host)
+        if not unreachable:
+            return False
+        return unreachable.issuperset(self._gate_servers.get(gate.name, ()))
 
     def _list_unreached(self, gate: GateId) -> set[HostId]:
-        """Returns the hosts that could not reach the server of a gate recently."""
+        """Returns the hosts at which attempts to reach a server just failed."""
         times = self._unreached.get(gate.name)
         if not times:
             return set()
         now = self._clock()
         for host in [host for host, until in times.items() if until <= now]:
             del times[host]
-        # If several hosts cannot reach it, the server is at fault.
-        return set(times) if len(times) < MAX_UNREACHED else set()
+        return set(times)
 
     def _get_load(self, name: str) -> GateLoad:
         return self._loads.setdefault(name, GateLoad())
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -22,6 +22,7 @@
     ConnectFailed,
     ConnectionLost,
     DeadlineExceeded,
+    HostIsolated,
     InternalError,
     MonsoonlugError,
     NotGate,
@@ -34,7 +35,7 @@
 from monsoonlug.exchanges import Peer
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.fleet import FleetView
-from monsoonlug.fleet_messages import FleetServer
+from monsoonlug.fleet_messages import FleetServer, HostReachability
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import (
     FailureDomain,
@@ -51,11 +52,14 @@
 from monsoonlug.messages import RequestHead
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
-from monsoonlug.serverqueue import ServerQueue, ServiceTimeModel
+from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, ServiceTimeModel
 
 # Servers of a pool without keys that share one gate. Responses of 5 KB from eight busy
 # servers saturate the 2 Mbit/s link of a small host; those of three use half of it.
 SERVERS_PER_GATE = 3
+# Hosts of a gate's failure domain that are preferred to those of others. The gates of a
+# domain of which most hosts fail then do not all move to the few that are left.
+LOCAL_CANDIDATES = 3
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
@@ -97,15 +101,20 @@
 def rank_hosts(gate: GateId, hosts: list[LiveHost]) -> Iterator[LiveHost]:
     """Yields hosts by descending preference for serving a gate.
 
-    Hosts of the gate's failure domain come first, so that responses cross between
+    Some hosts of the gate's failure domain come first, so that responses cross between
     failure domains at most once.
     """
 
-    def rank(host: LiveHost) -> tuple[bool, int]:
-        is_remote = host.failure_domain != gate.failure_domain
-        return is_remote, -xxhash.xxh64_intdigest(f"{gate.name}|{host.host}".encode())
+    def rank(host: LiveHost) -> int:
+        return -xxhash.xxh64_intdigest(f"{gate.name}|{host.host}".encode())
 
-    return iter(sorted(hosts, key=rank))
+    ranked = sorted(hosts, key=rank)
+    local = [host for host in ranked if host.failure_domain == gate.failure_domain]
+    preferred = local[:LOCAL_CANDIDATES]
+    yield from preferred
+    for host in ranked:
+        if host not in preferred:
+            yield host
 
 
 def list_gates(view: FleetView) -> dict[GateId, list[FleetServer]]:
@@ -220,9 +229,13 @@
             random=random or Random(),
             connect=self._try_connect,
             list_servers=self._list_gate_servers,
+            list_active=self._list_active_servers,
             on_unreachable=self._handle_unreachable,
             on_reachable=self._handle_reachable,
+            on_change=self._schedule_report,
         )
+        self._peers: set[Peer] = set()
+        self._is_report_due = False
         self._timer: asyncio.TimerHandle | None = None
         self._close_tasks: set[asyncio.Task] = set()
 
@@ -236,6 +249,16 @@
         """Number of servers that limit the requests that they accept."""
         return len(self._request_limits)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this host reaches no server."""
+        return self._reachability.is_isolated
+
+    @property
+    def unreachable_servers(self) -> int:
+        """Number of servers that this host cannot connect to."""
+        return len(self._reachability.unreachable)
+
     @property
     def queued(self) -> int:
         """Number of waiting requests at all gates."""
@@ -328,12 +351,20 @@
 
     # Handlers of request streams.
 
+    def add_peer(self, peer: Peer) -> None:
+        """Reports the reachability of servers to a peer from now on."""
+        self._peers.add(peer)
+        report = self._build_report()
+        if report.is_isolated or report.unreachable:
+            _send_to_peer(peer, report)
+
     def receive(self, peer: Peer, message: object) -> None:
         """Handles a frame of a request stream; see `JobTable`."""
         self._jobs.receive(peer, message)
 
     def remove_peer(self, peer: Peer) -> None:
         """Cancels the requests of a peer whose connection was lost."""
+        self._peers.discard(peer)
         self._jobs.remove_peer(peer)
 
     async def stop(self) -> None:
@@ -378,6 +409,9 @@
         if now >= job.deadline:
             job.fail(DeadlineExceeded())
             return
+        if self._reachability.is_isolated:
+            job.fail(HostIsolated(retry_after=RECONNECT_DELAY))
+            return
         queue = self._get_queue(head.server)
         if queue is None:
             job.fail(NotGate())
@@ -462,7 +496,7 @@
             job.fail(error)
         except (BackendRefused, BackendFenced) as error:
             outcome = Outcome.SHED
-            self._update_request_limit(server)
+            self._handle_response(server)
             self._log_failure(job, server, error)
             job.fail(error)
         except StreamClosed:
@@ -527,6 +561,31 @@
     def _list_gate_servers(self) -> list[ServerId]:
         return [item.server for _, records in self._gates.values() for item in records]
 
+    def _list_active_servers(self) -> list[ServerId]:
+        now = self._clock()
+        servers = []
+        for queue in self._queues.values():
+            servers.extend(queue.iterate_active(now))
+        return servers
+
+    def _schedule_report(self) -> None:
+        """Reports the reachability to all peers once, as several servers may change."""
+        if not self._is_report_due:
+            self._is_report_due = True
+            asyncio.get_running_loop().call_soon(self._send_report)
+
+    def _send_report(self) -> None:
+        self._is_report_due = False
+        report = self._build_report()
+        for peer in list(self._peers):
+            _send_to_peer(peer, report)
+
+    def _build_report(self) -> HostReachability:
+        return HostReachability(
+            is_isolated=self._reachability.is_isolated,
+            unreachable=self._reachability.unreachable,
+        )
+
     def _give_up_requests(self, server: ServerId) -> None:
         """Cancels requests without a response that another gate may send again."""
         existing = self._backends.get(server)
@@ -552,11 +611,12 @@
         await job.run(
             backend,
             estimate_latency=estimate_latency if is_pooled else None,
-            on_head=partial(self._update_request_limit, server),
+            on_head=partial(self._handle_response, server),
         )
 
-    def _update_request_limit(self, server: ServerId) -> None:
-        """Records the request limit that a server's last response names."""
+    def _handle_response(self, server: ServerId) -> None:
+        """Records that a server responded, and the request limit that it names."""
+        self._reachability.record_contact()
         existing = self._backends.get(server)
         if existing is None:
             return
@@ -597,6 +657,13 @@
         ).info("Attempt failed.")
 
 
+def _send_to_peer(peer: Peer, message: object) -> None:
+    try:
+        peer.send(message)
+    except StreamClosed:
+        logger.debug("A stream was closed before {!r} was sent.", message)
+
+
 def _log_request_limit(server: ServerId, limit: float, source: str) -> None:
     if limit > 0:
         logger.info(
--- a/src/monsoonlug/reachability.py
+++ b/src/monsoonlug/reachability.py
@@ -1,7 +1,8 @@
 """Checks which backend servers this host can connect to.
 
 A server is checked after a failed connection or an overdue response. While it cannot be
-reached, it is checked again and again and gets no requests from this host.
+reached, it is checked again and again and gets no requests from this host. If no server
+can be reached, the host is isolated: the gates of other hosts take over.
 """
 
 import asyncio
@@ -16,8 +17,10 @@
 CHECK_TIMEOUT = 0.25  # seconds until a server that accepts no connection is unreachable
 CHECK_INTERVAL = 0.15  # seconds between two checks of an unreachable server
 SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
+OTHERS_CHECK_INTERVAL = 1.0  # seconds between two checks of all servers in use
 CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
 CRASH_CHECK_SERVERS = 4  # others, of which one must be reachable
+ISOLATION_CHECK_SERVERS = 3  # of which an isolated host reaches none
 
 logger = get_logger("gate")
 
@@ -31,8 +34,13 @@
         connect: Returns the result of connecting to a server within a time-out in
             seconds, or None if the server has left.
         list_servers: Returns the servers that this host may send requests to.
+        list_active: Returns those that it has lately sent requests to.
         on_unreachable: Called after each check of a server that failed.
         on_reachable: Called when a checked server can be connected to.
+        on_change: Called after a change of `is_isolated` or `unreachable`.
+
+    Attributes:
+        is_isolated: Whether this host reaches no server.
     """
 
     def __init__(
@@ -42,18 +50,33 @@
         random: Random,
         connect: Callable[[ServerId, float], Awaitable[ConnectResult | None]],
         list_servers: Callable[[], Collection[ServerId]],
+        list_active: Callable[[], Collection[ServerId]],
         on_unreachable: Callable[[ServerId, ConnectResult], None],
         on_reachable: Callable[[ServerId], None],
+        on_change: Callable[[], None],
     ):
         self._clock = clock
         self._random = random
         self._connect = connect
         self._list_servers = list_servers
+        self._list_active = list_active
         self._on_unreachable = on_unreachable
         self._on_reachable = on_reachable
+        self._on_change = on_change
+        self.is_isolated = False
+        self._unreachable: dict[ServerId, float] = {}
+        self._failed: set[ServerId] = set()  # checks since the last contact
+        self._last_contact_at = -math.inf
+        self._others_checked_at = -math.inf
         self._checks: dict[ServerId, asyncio.Task] = {}
+        self._others_check: asyncio.Task | None = None
         self._silence_checked_at: dict[ServerId, float] = {}
 
+    @property
+    def unreachable(self) -> list[ServerId]:
+        """The servers that are checked as the last connection to them failed."""
+        return sorted(self._unreachable)
+
     def check_silent(self, server: ServerId) -> None:
         """Checks a server whose responses are overdue, unless it was checked lately."""
         now = self._clock()
@@ -85,25 +108,73 @@
         )
         return ConnectResult.ACCEPTED in results
 
+    def record_contact(self) -> None:
+        """Records that a server sent something to this host."""
+        self._last_contact_at = self._clock()
+        self._failed.clear()
+        if self.is_isolated:
+            self.is_isolated = False
+            logger.info("This host reaches backend servers again.")
+            self._on_change()
+
     def stop(self) -> None:
         """Ends all checks."""
         for task in self._checks.values():
             task.cancel()
+        if self._others_check is not None:
+            self._others_check.cancel()
 
     async def _run_checks(self, server: ServerId) -> None:
-        unreachable_since = None
         while True:
-            result = await self._connect(server, CHECK_TIMEOUT)
+            result = await self._check_once(server)
             if result in (ConnectResult.ACCEPTED, None):
-                if unreachable_since is not None:
-                    seconds = self._clock() - unreachable_since
-                    logger.info(
-                        "Server {} is reachable after {:.2f} s.", server, seconds
-                    )
-                self._on_reachable(server)
-                return
-            if unreachable_since is None:
-                unreachable_since = self._clock()
+                break
+            if server not in self._unreachable:
+                self._unreachable[server] = self._clock()
                 logger.warning("Server {} is not reachable: {}.", server, result.value)
+                self._on_change()
             self._on_unreachable(server, result)
+            self._check_others()
             await asyncio.sleep(CHECK_INTERVAL)
+        since = self._unreachable.pop(server, None)
+        if since is not None:
+            seconds = self._clock() - since
+            logger.info("Server {} is reachable after {:.2f} s.", server, seconds)
+            self._on_change()
+        self._on_reachable(server)
+
+    async def _check_once(self, server: ServerId) -> ConnectResult | None:
+        started_at = self._clock()
+        result = await self._connect(server, CHECK_TIMEOUT)
+        if result is ConnectResult.ACCEPTED:
+            self.record_contact()
+        elif result is not None and started_at >= self._last_contact_at:
+            self._failed.add(server)
+            self._detect_isolation()
+        return result
+
+    def _detect_isolation(self) -> None:
+        if self.is_isolated:
+            return
+        if len(self._failed) < min(ISOLATION_CHECK_SERVERS, len(self._list_servers())):
+            return
+        if self._failed.issuperset(self._list_active()):
+            self.is_isolated = True
+            logger.warning("This host reaches no backend server.")
+            self._on_change()
+
+    def _check_others(self) -> None:
+        """Checks the servers in use and some others, as all may be out of reach."""
+        now = self._clock()
+        if now - self._others_checked_at < OTHERS_CHECK_INTERVAL:
+            return
+        self._others_checked_at = now
+        self._others_check = asyncio.create_task(self._run_others_check())
+
+    async def _run_others_check(self) -> None:
+        for server in self._list_active():
+            self.check(server)
+        others = sorted(set(self._list_servers()) - set(self._checks))
+        count = min(len(others), ISOLATION_CHECK_SERVERS)
+        sample = self._random.sample(others, count)
+        await asyncio.gather(*(self._check_once(item) for item in sample))
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -61,6 +61,7 @@
 RECONNECT_DELAY = 0.5  # seconds until an unreachable server is tried again
 MIN_SILENCE = 0.3  # seconds without a response until a server may be silent
 SILENCE_FACTOR = 2.5  # times the expected service time; the same for slow requests
+ACTIVE_TIME = 1.0  # seconds after a response for which a server counts as active
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
 
 
@@ -487,6 +488,12 @@
             if now - since > max(MIN_SILENCE, SILENCE_FACTOR * oldest.estimate):
                 yield server.name
 
+    def iterate_active(self, now: float) -> Iterator[ServerId]:
+        """Yields servers that run requests or responded a short time ago."""
+        for server in self._servers.values():
+            if server.running or now - server.last_response_at < ACTIVE_TIME:
+                yield server.name
+
     def mark_unreachable(self, now: float, server: ServerId) -> None:
         """Pauses sending to a server that this host cannot connect to."""
         state = self._servers.get(server)
--- a/src/monsoonlug/targets.py
+++ b/src/monsoonlug/targets.py
@@ -134,6 +134,10 @@
     def record_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
         """Records the error of a failed attempt; does nothing by default."""
 
+    def has_alternative(self, target: Target) -> bool:
+        """Returns whether a gate at another host may reach the server of a target."""
+        return True
+
     async def wait(
         self,
         admitted: AdmittedRequest,
