Decide in one round of checks whether a host is isolated

Cause: hosts took 0.97 to 1.64 s to find that they were isolated. Each server was checked on its own, the others after the first had failed, and a request for one more server put the decision off by a second. Late responses ended the isolation again.

Change: all servers in use, and three others, are checked together when two responses are overdue and none came for 0.3 s, or when a connection fails. That round decides, and only an accepted connection ends the isolation.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -62,6 +62,8 @@
 LOCAL_CANDIDATES = 3
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
+HOST_SILENCE = 0.3  # seconds without any response until the host may be isolated
+MIN_OVERDUE_SERVERS = 2  # whose responses are overdue in that time
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 
@@ -542,9 +544,13 @@
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
         now = self._clock()
+        overdue = 0
         for queue in self._queues.values():
+            overdue += queue.count_overdue_servers(now, HOST_SILENCE)
             for server in queue.find_silent_servers(now):
                 self._reachability.check_silent(server)
+        if overdue >= MIN_OVERDUE_SERVERS:
+            self._reachability.check_isolation(HOST_SILENCE)
 
     def _handle_unreachable(self, server: ServerId, result: ConnectResult) -> None:
         for queue in self._queues.values():
--- a/src/monsoonlug/reachability.py
+++ b/src/monsoonlug/reachability.py
@@ -17,7 +17,8 @@
 CHECK_TIMEOUT = 0.25  # seconds until a server that accepts no connection is unreachable
 CHECK_INTERVAL = 0.15  # seconds between two checks of an unreachable server
 SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
-OTHERS_CHECK_INTERVAL = 1.0  # seconds between two checks of all servers in use
+ISOLATION_CHECK_INTERVAL = 0.5  # seconds between two checks of all servers in use
+MIN_SILENCE = 0.1  # seconds without a response until the host may be isolated
 CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
 CRASH_CHECK_SERVERS = 4  # others, of which one must be reachable
 ISOLATION_CHECK_SERVERS = 3  # of which an isolated host reaches none
@@ -65,11 +66,10 @@
         self._on_change = on_change
         self.is_isolated = False
         self._unreachable: dict[ServerId, float] = {}
-        self._failed: set[ServerId] = set()  # checks since the last contact
         self._last_contact_at = -math.inf
-        self._others_checked_at = -math.inf
+        self._isolation_checked_at = -math.inf
         self._checks: dict[ServerId, asyncio.Task] = {}
-        self._others_check: asyncio.Task | None = None
+        self._isolation_check: asyncio.Task | None = None
         self._silence_checked_at: dict[ServerId, float] = {}
 
     @property
@@ -85,10 +85,25 @@
             self._silence_checked_at[server] = now
             self.check(server)
 
+    def check_isolation(self, silence: float = MIN_SILENCE) -> None:
+        """Checks the servers in use and some others, as all may be out of reach.
+
+        Args:
+            silence: Seconds without a response after which this is worth a check.
+        """
+        now = self._clock()
+        if now - self._last_contact_at < silence:
+            return
+        if now - self._isolation_checked_at < ISOLATION_CHECK_INTERVAL:
+            return
+        self._isolation_checked_at = now
+        self._isolation_check = asyncio.create_task(self._run_isolation_check())
+
     def check(self, server: ServerId) -> None:
         """Checks a server until it can be reached."""
         if server in self._checks:
             return
+        self.check_isolation()
         task = asyncio.create_task(self._run_checks(server))
         self._checks[server] = task
         task.add_done_callback(lambda _: self._checks.pop(server, None))
@@ -111,70 +126,76 @@
     def record_contact(self) -> None:
         """Records that a server sent something to this host."""
         self._last_contact_at = self._clock()
-        self._failed.clear()
-        if self.is_isolated:
-            self.is_isolated = False
-            logger.info("This host reaches backend servers again.")
-            self._on_change()
 
     def stop(self) -> None:
         """Ends all checks."""
         for task in self._checks.values():
             task.cancel()
-        if self._others_check is not None:
-            self._others_check.cancel()
+        if self._isolation_check is not None:
+            self._isolation_check.cancel()
 
     async def _run_checks(self, server: ServerId) -> None:
+        if server in self._unreachable:
+            await asyncio.sleep(CHECK_INTERVAL)
         while True:
-            result = await self._check_once(server)
+            result = await self._connect_once(server)
             if result in (ConnectResult.ACCEPTED, None):
                 break
-            if server not in self._unreachable:
-                self._unreachable[server] = self._clock()
-                logger.warning("Server {} is not reachable: {}.", server, result.value)
-                self._on_change()
-            self._on_unreachable(server, result)
-            self._check_others()
+            self._mark_unreachable(server, result)
+            self.check_isolation()
             await asyncio.sleep(CHECK_INTERVAL)
         since = self._unreachable.pop(server, None)
         if since is not None:
             seconds = self._clock() - since
             logger.info("Server {} is reachable after {:.2f} s.", server, seconds)
             self._on_change()
+        if not self._unreachable:
+            self._end_isolation()
         self._on_reachable(server)
 
-    async def _check_once(self, server: ServerId) -> ConnectResult | None:
-        started_at = self._clock()
+    async def _connect_once(self, server: ServerId) -> ConnectResult | None:
         result = await self._connect(server, CHECK_TIMEOUT)
         if result is ConnectResult.ACCEPTED:
             self.record_contact()
-        elif result is not None and started_at >= self._last_contact_at:
-            self._failed.add(server)
-            self._detect_isolation()
+            self._end_isolation()
         return result
 
-    def _detect_isolation(self) -> None:
-        if self.is_isolated:
-            return
-        if len(self._failed) < min(ISOLATION_CHECK_SERVERS, len(self._list_servers())):
+    def _mark_unreachable(self, server: ServerId, result: ConnectResult) -> None:
+        if server not in self._unreachable:
+            self._unreachable[server] = self._clock()
+            logger.warning("Server {} is not reachable: {}.", server, result.value)
+            self._on_change()
+        self._on_unreachable(server, result)
+
+    async def _run_isolation_check(self) -> None:
+        started_at = self._clock()
+        active = set(self._list_active())
+        others = sorted(set(self._list_servers()) - active)
+        count = min(len(others), ISOLATION_CHECK_SERVERS)
+        servers = sorted(active) + self._random.sample(others, count)
+        results = await asyncio.gather(*(self._connect_once(item) for item in servers))
+        failures = 0
+        for server, result in zip(servers, results, strict=True):
+            if result in (ConnectResult.ACCEPTED, None):
+                continue
+            failures += 1
+            if server in active:
+                self._mark_unreachable(server, result)
+                self.check(server)
+        if self._last_contact_at >= started_at or not self._unreachable:
             return
-        if self._failed.issuperset(self._list_active()):
+        if failures >= min(ISOLATION_CHECK_SERVERS, len(self._list_servers())):
+            self._begin_isolation()
+
+    def _begin_isolation(self) -> None:
+        if not self.is_isolated:
             self.is_isolated = True
             logger.warning("This host reaches no backend server.")
             self._on_change()
 
-    def _check_others(self) -> None:
-        """Checks the servers in use and some others, as all may be out of reach."""
-        now = self._clock()
-        if now - self._others_checked_at < OTHERS_CHECK_INTERVAL:
-            return
-        self._others_checked_at = now
-        self._others_check = asyncio.create_task(self._run_others_check())
-
-    async def _run_others_check(self) -> None:
-        for server in self._list_active():
-            self.check(server)
-        others = sorted(set(self._list_servers()) - set(self._checks))
-        count = min(len(others), ISOLATION_CHECK_SERVERS)
-        sample = self._random.sample(others, count)
-        await asyncio.gather(*(self._check_once(item) for item in sample))
+    def _end_isolation(self) -> None:
+        # Not after a response: connections may live on while none can be opened.
+        if self.is_isolated:
+            self.is_isolated = False
+            logger.info("This host reaches backend servers again.")
+            self._on_change()
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -488,6 +488,21 @@
             if now - since > max(MIN_SILENCE, SILENCE_FACTOR * oldest.estimate):
                 yield server.name
 
+    def count_overdue_servers(self, now: float, silence: float) -> int:
+        """Returns how many servers exceeded the expected time of a request.
+
+        Args:
+            now: Seconds of a monotonic clock.
+            silence: Seconds that a request must have taken at least.
+        """
+        count = 0
+        for server in self._servers.values():
+            for running in server.running.values():
+                if now - running.started_at > max(silence, running.estimate):
+                    count += 1
+                    break
+        return count
+
     def iterate_active(self, now: float) -> Iterator[ServerId]:
         """Yields servers that run requests or responded a short time ago."""
         for server in self._servers.values():
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -197,6 +197,17 @@
     assert [server for _, _, server in gate.started] == ["slow"]
 
 
+def test_servers_with_overdue_responses_are_counted():
+    """Guards against a cut host that waits for each silent server on its own."""
+    servers = ("s1", "s2", "s3")
+    gate = SimulatedGate(*servers)
+    for server in servers:
+        gate.add(server=server)
+    gate.queue.finish(0.1, "r1", "s1", Outcome.ANSWERED)
+    assert gate.queue.count_overdue_servers(0.25, 0.3) == 0
+    assert gate.queue.count_overdue_servers(0.31, 0.3) == 2
+
+
 def test_nothing_is_sent_to_a_closed_server():
     """Guards against new requests to a server whose leave was acknowledged."""
     gate = SimulatedGate("a")
