Find hosts that are isolated from one pool only

Cause: isolation was decided for a host as a whole, so these hosts never were isolated.

Change: contacts, checks and isolation are kept by pool. A host that finds itself isolated from one pool checks the others at once.

The new test runs against the new interface only.

--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -257,7 +257,7 @@
 
 
 class HostIsolated(MonsoonlugError):
-    """The host of the gate reaches no backend server; nothing was sent."""
+    """The gate's host reaches no backend server of the pool; nothing was sent."""
 
     code = "host-isolated"
     status = 503
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -273,9 +273,9 @@
             lambda: self._gate_host.limited_servers,
         )
         add_gauge(
-            "isolated",
-            "Whether this host reaches no server.",
-            lambda: int(self._gate_host.is_isolated),
+            "isolated_pools",
+            "Pools of which this host reaches no server.",
+            lambda: self._gate_host.isolated_pools,
         )
         add_gauge(
             "unreachable_servers",
@@ -338,7 +338,7 @@
             case HostReachability():
                 check_reachability(message)
                 self._finder.update_reachability(
-                    host, message.is_isolated, message.unreachable
+                    host, message.isolated_pools, message.unreachable
                 )
             case _:
                 self._exchanges.receive(host, message)
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -352,11 +352,11 @@
     It is sent to the entries with an open stream, after each change and on opening.
 
     Attributes:
-        is_isolated: Whether the host reaches no server at all.
+        isolated_pools: Pools of which the host reaches no server.
         unreachable: Names of the servers that were found to be unreachable.
     """
 
-    is_isolated: bool
+    isolated_pools: list
     unreachable: list
 
 
@@ -384,8 +384,9 @@
     Raises:
         DamagedFrame: If a name is not a string.
     """
-    if not all(isinstance(server, str) for server in report.unreachable):
-        raise DamagedFrame("a server in unreachable is not a string")
+    names = (*report.isolated_pools, *report.unreachable)
+    if not all(isinstance(name, str) for name in names):
+        raise DamagedFrame("a name in a report of reachability is not a string")
 
 
 def check_wanted_tokens(wanted: dict) -> None:
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -102,7 +102,7 @@
         self._hosts: list[LiveHost] = []
         self._ranked_hosts: dict[str, list[LiveHost]] = {}
         self._unreached: dict[str, dict[HostId, float]] = {}
-        self._isolated_hosts: set[HostId] = set()
+        self._isolated_pools: dict[HostId, frozenset[PoolId]] = {}
         self._unreachable: dict[HostId, frozenset[ServerId]] = {}
         self._gate_ids: dict[str, GateId] = {}
         self._gate_servers: dict[str, list[ServerId]] = {}
@@ -131,23 +131,24 @@
         self.wake_waiters()
 
     def update_reachability(
-        self, host: HostId, is_isolated: bool, unreachable: Iterable[ServerId]
+        self,
+        host: HostId,
+        isolated_pools: Iterable[PoolId],
+        unreachable: Iterable[ServerId],
     ) -> None:
         """Applies what a host reports of its connections to backend servers.
 
         Args:
             host: The host.
-            is_isolated: Whether it reaches no server.
+            isolated_pools: Pools of which it reaches no server.
             unreachable: Servers that it cannot connect to.
         """
-        self._isolated_hosts.discard(host)
-        if is_isolated:
-            self._isolated_hosts.add(host)
+        self._isolated_pools[host] = frozenset(isolated_pools)
         self._unreachable[host] = frozenset(unreachable)
 
     def remove_reachability(self, host: HostId) -> None:
         """Forgets the reports of a host whose stream was lost."""
-        self._isolated_hosts.discard(host)
+        self._isolated_pools.pop(host, None)
         self._unreachable.pop(host, None)
 
     def find(
@@ -273,7 +274,7 @@
         if host is not None:
             return host
         for item in self._rank_hosts(gate):
-            if self._is_available(item.host):
+            if self._is_available(item.host, gate.pool):
                 return item.host
         return self._host
 
@@ -287,7 +288,7 @@
         failures = 0
         second_choice = None
         for item in self._rank_hosts(gate):
-            if not self._is_available(item.host):
+            if not self._is_available(item.host, gate.pool):
                 continue
             if item.host in failed or self._reports_unreachable(item.host, gate):
                 failures += 1
@@ -309,9 +310,9 @@
             self._ranked_hosts[gate.name] = ranked
         return ranked
 
-    def _is_available(self, host: HostId) -> bool:
-        """Returns whether a host accepts requests and reaches backend servers."""
-        if host in self._isolated_hosts:
+    def _is_available(self, host: HostId, pool: PoolId) -> bool:
+        """Returns whether a host accepts requests and reaches servers of a pool."""
+        if pool in self._isolated_pools.get(host, ()):
             return False
         return host == self._host or self._is_reachable(host)
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
@@ -62,7 +63,7 @@
 LOCAL_CANDIDATES = 3
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
-HOST_SILENCE = 0.3  # seconds without any response until the host may be isolated
+POOL_SILENCE = 0.3  # seconds without a response of a pool that call for a check
 MIN_OVERDUE_SERVERS = 2  # whose responses are overdue in that time
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
@@ -230,7 +231,7 @@
             clock=clock,
             random=random or Random(),
             connect=self._try_connect,
-            list_servers=self._list_gate_servers,
+            list_pools=self._list_pools,
             list_active=self._list_active_servers,
             on_unreachable=self._handle_unreachable,
             on_reachable=self._handle_reachable,
@@ -252,9 +253,9 @@
         return len(self._request_limits)
 
     @property
-    def is_isolated(self) -> bool:
-        """Whether this host reaches no server."""
-        return self._reachability.is_isolated
+    def isolated_pools(self) -> int:
+        """Number of pools of which this host reaches no server."""
+        return len(self._reachability.isolated_pools)
 
     @property
     def unreachable_servers(self) -> int:
@@ -357,7 +358,7 @@
         """Reports the reachability of servers to a peer from now on."""
         self._peers.add(peer)
         report = self._build_report()
-        if report.is_isolated or report.unreachable:
+        if report.isolated_pools or report.unreachable:
             _send_to_peer(peer, report)
 
     def receive(self, peer: Peer, message: object) -> None:
@@ -411,7 +412,7 @@
         if now >= job.deadline:
             job.fail(DeadlineExceeded())
             return
-        if self._reachability.is_isolated:
+        if self._reachability.is_isolated(PoolId(head.pool)):
             job.fail(HostIsolated(retry_after=RECONNECT_DELAY))
             return
         queue = self._get_queue(head.server)
@@ -528,7 +529,7 @@
                 self._clock(), request.request_id, server, outcome, slowdown=slowdown
             )
             if outcome is Outcome.UNREACHED:
-                self._reachability.check(server)
+                self._reachability.check(PoolId(job.head.pool), server)
             self.process_queues()
 
     async def _try_connect(
@@ -544,13 +545,17 @@
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
         now = self._clock()
-        overdue = 0
-        for queue in self._queues.values():
-            overdue += queue.count_overdue_servers(now, HOST_SILENCE)
+        overdue: Counter[PoolId] = Counter()
+        for name, queue in self._queues.items():
+            if name not in self._gates:
+                continue
+            pool = self._gates[name][0].pool
+            overdue[pool] += queue.count_overdue_servers(now, POOL_SILENCE)
             for server in queue.find_silent_servers(now):
-                self._reachability.check_silent(server)
-        if overdue >= MIN_OVERDUE_SERVERS:
-            self._reachability.check_isolation(HOST_SILENCE)
+                self._reachability.check_silent(pool, server)
+        for pool, count in overdue.items():
+            if count >= MIN_OVERDUE_SERVERS:
+                self._reachability.check_isolation(pool, POOL_SILENCE)
 
     def _handle_unreachable(self, server: ServerId, result: ConnectResult) -> None:
         for queue in self._queues.values():
@@ -564,8 +569,13 @@
             queue.mark_reachable(self._clock(), server)
         self.process_queues()
 
-    def _list_gate_servers(self) -> list[ServerId]:
-        return [item.server for _, records in self._gates.values() for item in records]
+    def _list_pools(self) -> dict[PoolId, list[ServerId]]:
+        """Returns the servers of all gates by pool."""
+        servers: dict[PoolId, list[ServerId]] = {}
+        for gate, records in self._gates.values():
+            known = servers.setdefault(gate.pool, [])
+            known.extend(item.server for item in records)
+        return servers
 
     def _list_active_servers(self) -> list[ServerId]:
         now = self._clock()
@@ -588,7 +598,7 @@
 
     def _build_report(self) -> HostReachability:
         return HostReachability(
-            is_isolated=self._reachability.is_isolated,
+            isolated_pools=self._reachability.isolated_pools,
             unreachable=self._reachability.unreachable,
         )
 
@@ -622,10 +632,10 @@
 
     def _handle_response(self, server: ServerId) -> None:
         """Records that a server responded, and the request limit that it names."""
-        self._reachability.record_contact()
         existing = self._backends.get(server)
         if existing is None:
             return
+        self._reachability.record_contact(existing[0].pool)
         limit = existing[1].request_limit
         if self._request_limits.record_response(self._clock(), server, limit):
             _log_request_limit(server, limit or 0.0, "its response")
--- a/src/monsoonlug/reachability.py
+++ b/src/monsoonlug/reachability.py
@@ -2,7 +2,7 @@
 
 A server is checked after a failed connection or an overdue response. While it cannot be
 reached, it is checked again and again and gets no requests from this host. If no server
-can be reached, the host is isolated: the gates of other hosts take over.
+of a pool can be reached, the host is isolated from the pool: other hosts take over.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 from random import Random
 
 from monsoonlug.backend import ConnectResult
-from monsoonlug.ids import ServerId
+from monsoonlug.ids import PoolId, ServerId
 from monsoonlug.logs import get_logger
 
 CHECK_TIMEOUT = 0.25  # seconds until a server that accepts no connection is unreachable
@@ -19,9 +19,9 @@
 SILENCE_CHECK_INTERVAL = 1.0  # seconds between two checks of a silent server
 ISOLATION_CHECK_INTERVAL = 0.5  # seconds between two checks of all servers in use
 MIN_SILENCE = 0.1  # seconds without a response until the host may be isolated
+ISOLATION_CHECK_SERVERS = 3  # of a pool, of which an isolated host reaches none
 CRASH_CHECK_TIMEOUT = 0.1  # seconds; the host of an ended process refuses at once
 CRASH_CHECK_SERVERS = 4  # others, of which one must be reachable
-ISOLATION_CHECK_SERVERS = 3  # of which an isolated host reaches none
 
 logger = get_logger("gate")
 
@@ -34,14 +34,11 @@
         random: Source of the choice of servers to check.
         connect: Returns the result of connecting to a server within a time-out in
             seconds, or None if the server has left.
-        list_servers: Returns the servers that this host may send requests to.
-        list_active: Returns those that it has lately sent requests to.
+        list_pools: Returns the servers that this host may send requests to, by pool.
+        list_active: Returns the servers that it has lately sent requests to.
         on_unreachable: Called after each check of a server that failed.
         on_reachable: Called when a checked server can be connected to.
-        on_change: Called after a change of `is_isolated` or `unreachable`.
-
-    Attributes:
-        is_isolated: Whether this host reaches no server.
+        on_change: Called after a change of `isolated_pools` or `unreachable`.
     """
 
     def __init__(
@@ -50,7 +47,7 @@
         clock: Callable[[], float],
         random: Random,
         connect: Callable[[ServerId, float], Awaitable[ConnectResult | None]],
-        list_servers: Callable[[], Collection[ServerId]],
+        list_pools: Callable[[], dict[PoolId, list[ServerId]]],
         list_active: Callable[[], Collection[ServerId]],
         on_unreachable: Callable[[ServerId, ConnectResult], None],
         on_reachable: Callable[[ServerId], None],
@@ -59,54 +56,71 @@
         self._clock = clock
         self._random = random
         self._connect = connect
-        self._list_servers = list_servers
+        self._list_pools = list_pools
         self._list_active = list_active
         self._on_unreachable = on_unreachable
         self._on_reachable = on_reachable
         self._on_change = on_change
-        self.is_isolated = False
+        self._isolated: set[PoolId] = set()
         self._unreachable: dict[ServerId, float] = {}
-        self._last_contact_at = -math.inf
-        self._isolation_checked_at = -math.inf
+        self._last_contact_at: dict[PoolId, float] = {}
+        self._isolation_checked_at: dict[PoolId, float] = {}
+        self._isolation_checks: set[asyncio.Task] = set()
         self._checks: dict[ServerId, asyncio.Task] = {}
-        self._isolation_check: asyncio.Task | None = None
         self._silence_checked_at: dict[ServerId, float] = {}
 
+    @property
+    def isolated_pools(self) -> list[PoolId]:
+        """The pools of which this host reaches no server."""
+        return sorted(self._isolated)
+
     @property
     def unreachable(self) -> list[ServerId]:
         """The servers that are checked as the last connection to them failed."""
         return sorted(self._unreachable)
 
-    def check_silent(self, server: ServerId) -> None:
+    def is_isolated(self, pool: PoolId) -> bool:
+        """Returns whether this host reaches no server of a pool."""
+        return pool in self._isolated
+
+    def record_contact(self, pool: PoolId) -> None:
+        """Records that a server of a pool sent something to this host."""
+        self._last_contact_at[pool] = self._clock()
+
+    def check_silent(self, pool: PoolId, server: ServerId) -> None:
         """Checks a server whose responses are overdue, unless it was checked lately."""
         now = self._clock()
         checked_at = self._silence_checked_at.get(server, -math.inf)
         if now - checked_at > SILENCE_CHECK_INTERVAL:
             self._silence_checked_at[server] = now
-            self.check(server)
+            self.check(pool, server)
+
+    def check(self, pool: PoolId, server: ServerId) -> None:
+        """Checks a server until it can be reached."""
+        if server in self._checks:
+            return
+        self.check_isolation(pool)
+        task = asyncio.create_task(self._run_checks(pool, server))
+        self._checks[server] = task
+        task.add_done_callback(lambda _: self._checks.pop(server, None))
 
-    def check_isolation(self, silence: float = MIN_SILENCE) -> None:
-        """Checks the servers in use and some others, as all may be out of reach.
+    def check_isolation(self, pool: PoolId, silence: float = MIN_SILENCE) -> None:
+        """Checks the servers of a pool that are in use, and some others, together.
 
         Args:
+            pool: The pool.
             silence: Seconds without a response after which this is worth a check.
         """
         now = self._clock()
-        if now - self._last_contact_at < silence:
+        if now - self._last_contact_at.get(pool, -math.inf) < silence:
             return
-        if now - self._isolation_checked_at < ISOLATION_CHECK_INTERVAL:
+        checked_at = self._isolation_checked_at.get(pool, -math.inf)
+        if now - checked_at < ISOLATION_CHECK_INTERVAL:
             return
-        self._isolation_checked_at = now
-        self._isolation_check = asyncio.create_task(self._run_isolation_check())
-
-    def check(self, server: ServerId) -> None:
-        """Checks a server until it can be reached."""
-        if server in self._checks:
-            return
-        self.check_isolation()
-        task = asyncio.create_task(self._run_checks(server))
-        self._checks[server] = task
-        task.add_done_callback(lambda _: self._checks.pop(server, None))
+        self._isolation_checked_at[pool] = now
+        task = asyncio.create_task(self._run_isolation_check(pool))
+        self._isolation_checks.add(task)
+        task.add_done_callback(self._isolation_checks.discard)
 
     async def has_process_ended(self, server: ServerId) -> bool:
         """Returns whether the process of a server ended.
@@ -116,48 +130,46 @@
         result = await self._connect(server, CRASH_CHECK_TIMEOUT)
         if result is not ConnectResult.REFUSED:
             return False
-        others = [item for item in self._list_servers() if item != server]
+        others = []
+        for servers in self._list_pools().values():
+            others += [item for item in servers if item != server]
         sample = self._random.sample(others, min(len(others), CRASH_CHECK_SERVERS))
         results = await asyncio.gather(
             *(self._connect(item, CRASH_CHECK_TIMEOUT) for item in sample)
         )
         return ConnectResult.ACCEPTED in results
 
-    def record_contact(self) -> None:
-        """Records that a server sent something to this host."""
-        self._last_contact_at = self._clock()
-
     def stop(self) -> None:
         """Ends all checks."""
-        for task in self._checks.values():
+        for task in (*self._checks.values(), *self._isolation_checks):
             task.cancel()
-        if self._isolation_check is not None:
-            self._isolation_check.cancel()
 
-    async def _run_checks(self, server: ServerId) -> None:
+    async def _run_checks(self, pool: PoolId, server: ServerId) -> None:
         if server in self._unreachable:
             await asyncio.sleep(CHECK_INTERVAL)
         while True:
-            result = await self._connect_once(server)
+            result = await self._connect_once(pool, server)
             if result in (ConnectResult.ACCEPTED, None):
                 break
             self._mark_unreachable(server, result)
-            self.check_isolation()
+            self.check_isolation(pool)
             await asyncio.sleep(CHECK_INTERVAL)
         since = self._unreachable.pop(server, None)
         if since is not None:
             seconds = self._clock() - since
             logger.info("Server {} is reachable after {:.2f} s.", server, seconds)
             self._on_change()
-        if not self._unreachable:
-            self._end_isolation()
+        if self._unreachable.keys().isdisjoint(self._list_pools().get(pool, ())):
+            self._end_isolation(pool)
         self._on_reachable(server)
 
-    async def _connect_once(self, server: ServerId) -> ConnectResult | None:
+    async def _connect_once(
+        self, pool: PoolId, server: ServerId
+    ) -> ConnectResult | None:
         result = await self._connect(server, CHECK_TIMEOUT)
         if result is ConnectResult.ACCEPTED:
-            self.record_contact()
-            self._end_isolation()
+            self.record_contact(pool)
+            self._end_isolation(pool)
         return result
 
     def _mark_unreachable(self, server: ServerId, result: ConnectResult) -> None:
@@ -167,13 +179,16 @@
             self._on_change()
         self._on_unreachable(server, result)
 
-    async def _run_isolation_check(self) -> None:
+    async def _run_isolation_check(self, pool: PoolId) -> None:
         started_at = self._clock()
-        active = set(self._list_active())
-        others = sorted(set(self._list_servers()) - active)
+        known = self._list_pools().get(pool, [])
+        active = set(self._list_active()).intersection(known)
+        others = sorted(set(known) - active)
         count = min(len(others), ISOLATION_CHECK_SERVERS)
         servers = sorted(active) + self._random.sample(others, count)
-        results = await asyncio.gather(*(self._connect_once(item) for item in servers))
+        results = await asyncio.gather(
+            *(self._connect_once(pool, item) for item in servers)
+        )
         failures = 0
         for server, result in zip(servers, results, strict=True):
             if result in (ConnectResult.ACCEPTED, None):
@@ -181,21 +196,25 @@
             failures += 1
             if server in active:
                 self._mark_unreachable(server, result)
-                self.check(server)
-        if self._last_contact_at >= started_at or not self._unreachable:
+                self.check(pool, server)
+        if self._last_contact_at.get(pool, -math.inf) >= started_at:
             return
-        if failures >= min(ISOLATION_CHECK_SERVERS, len(self._list_servers())):
-            self._begin_isolation()
+        is_checked = not self._unreachable.keys().isdisjoint(known)
+        if is_checked and failures >= min(ISOLATION_CHECK_SERVERS, len(known)):
+            self._begin_isolation(pool)
 
-    def _begin_isolation(self) -> None:
-        if not self.is_isolated:
-            self.is_isolated = True
-            logger.warning("This host reaches no backend server.")
-            self._on_change()
+    def _begin_isolation(self, pool: PoolId) -> None:
+        if pool in self._isolated:
+            return
+        self._isolated.add(pool)
+        logger.warning("This host reaches no backend server of pool {}.", pool)
+        self._on_change()
+        for other in self._list_pools():
+            self.check_isolation(other)
 
-    def _end_isolation(self) -> None:
+    def _end_isolation(self, pool: PoolId) -> None:
         # Not after a response: connections may live on while none can be opened.
-        if self.is_isolated:
-            self.is_isolated = False
-            logger.info("This host reaches backend servers again.")
+        if pool in self._isolated:
+            self._isolated.discard(pool)
+            logger.info("This host reaches backend servers of pool {} again.", pool)
             self._on_change()
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -30,6 +30,7 @@
 from monsoonlug.targets import Target
 
 WAIT = 5.0  # seconds until a test fails
+POOL = "desk"
 
 
 class Network:
@@ -37,6 +38,7 @@
 
     def __init__(self, servers, *, active):
         self.servers = servers
+        self.other_servers = []
         self.unreachable = set()
         self.connects = []
         self.changed = asyncio.Event()
@@ -44,7 +46,7 @@
             clock=read_clock,
             random=Random(1),
             connect=self._connect,
-            list_servers=lambda: self.servers,
+            list_pools=lambda: {POOL: self.servers, "other": self.other_servers},
             list_active=lambda: active,
             on_unreachable=lambda server, result: None,
             on_reachable=lambda server: None,
@@ -70,11 +72,11 @@
     servers = [f"s{number}" for number in range(20)]
     network = Network(servers, active=["s1", "s2"])
     network.unreachable = set(servers)
-    network.monitor.check("s1")
-    await network.wait(lambda: network.monitor.is_isolated)
+    network.monitor.check(POOL, "s1")
+    await network.wait(lambda: network.monitor.isolated_pools)
     assert network.monitor.unreachable == ["s1", "s2"]
     network.unreachable = {"s2"}
-    await network.wait(lambda: not network.monitor.is_isolated)
+    await network.wait(lambda: not network.monitor.isolated_pools)
     await network.wait(lambda: network.monitor.unreachable == ["s2"])
     network.monitor.stop()
 
@@ -88,12 +90,26 @@
     servers = ["s1", "s2", "s3"]
     network = Network(servers, active=["s1", "s2"])
     network.unreachable = set(servers) - {reachable}
-    network.monitor.check("s1")
+    network.monitor.check(POOL, "s1")
     await network.wait(lambda: network.monitor.unreachable)
     for _ in range(10):
         await asyncio.sleep(0)
     assert reachable in network.connects
-    assert not network.monitor.is_isolated
+    assert not network.monitor.isolated_pools
+    network.monitor.stop()
+
+
+async def test_host_may_be_isolated_from_one_of_two_pools():
+    """Guards against hosts that try each server of a pool of which they reach none."""
+    network = Network(["s1", "s2", "s3", "s4"], active=["s1", "t1"])
+    network.other_servers = ["t1", "t2", "t3"]
+    network.unreachable = set(network.servers)
+    network.monitor.check(POOL, "s1")
+    await network.wait(lambda: network.monitor.isolated_pools)
+    assert network.monitor.isolated_pools == [POOL]
+    network.unreachable.update(network.other_servers)
+    network.monitor.check("other", "t1")
+    await network.wait(lambda: len(network.monitor.isolated_pools) == 2)
     network.monitor.stop()
 
 
@@ -106,11 +122,11 @@
     active = ["s1"]
     network = Network(servers, active=active)
     network.unreachable = set(servers)
-    network.monitor.check("s1")
+    network.monitor.check(POOL, "s1")
     while set(network.connects) == {"s1"} or not network.connects:
         await asyncio.sleep(0)
     active.append(next(item for item in servers if item not in network.connects))
-    await network.wait(lambda: network.monitor.is_isolated)
+    await network.wait(lambda: network.monitor.isolated_pools)
     assert network.connects.count("s1") <= 2
     network.monitor.stop()
 
@@ -122,12 +138,12 @@
     """
     network = Network(["s1"], active=["s1"])
     network.unreachable = {"s1"}
-    network.monitor.check("s1")
-    await network.wait(lambda: network.monitor.is_isolated)
-    network.monitor.record_contact()
-    assert network.monitor.is_isolated
+    network.monitor.check(POOL, "s1")
+    await network.wait(lambda: network.monitor.isolated_pools)
+    network.monitor.record_contact(POOL)
+    assert network.monitor.isolated_pools
     network.unreachable = set()
-    await network.wait(lambda: not network.monitor.is_isolated)
+    await network.wait(lambda: not network.monitor.isolated_pools)
     network.monitor.stop()
 
 
@@ -135,8 +151,8 @@
     """Guards against connections to all servers whenever one of them has ended."""
     network = Network(["s1", "s2", "s3"], active=["s1", "s2"])
     network.unreachable = {"s1"}
-    network.monitor.record_contact()
-    network.monitor.check("s1")
+    network.monitor.record_contact(POOL)
+    network.monitor.check(POOL, "s1")
     await network.wait(lambda: network.monitor.unreachable)
     assert set(network.connects) == {"s1"}
     network.monitor.stop()
@@ -185,8 +201,8 @@
     def has_alternative(self):
         return self.finder.has_alternative(self.target)
 
-    def isolate(self, host, is_isolated=True):
-        self.finder.update_reachability(host, is_isolated, [])
+    def isolate(self, host, pools=("desk",)):
+        self.finder.update_reachability(host, pools, [])
 
 
 def test_isolated_hosts_are_avoided_until_they_report_again():
@@ -200,7 +216,7 @@
         finder.now += 10.0
     assert sorted(seen) == sorted(item.host for item in finder.hosts)
     assert {host[0] for host in seen[:2]} == {"w"}
-    finder.isolate(first, is_isolated=False)
+    finder.isolate(first, pools=["another"])
     assert finder.choose() == first
 
 
@@ -208,7 +224,7 @@
     """Guards against the same host being tried each second while it is cut."""
     finder = Finder()
     first = finder.choose()
-    finder.finder.update_reachability(first, False, ["s1", "s2"])
+    finder.finder.update_reachability(first, [], ["s1", "s2"])
     finder.now += 10.0
     assert finder.choose() != first
     finder.finder.remove_reachability(first)
@@ -223,7 +239,7 @@
         host = finder.choose()
         assert host not in tried
         tried.add(host)
-        finder.finder.update_reachability(host, False, ["s1"])
+        finder.finder.update_reachability(host, [], ["s1"])
     assert len(tried) == MAX_UNREACHED
 
 
@@ -231,7 +247,7 @@
     """Guards against servers that count as lost because most hosts are cut off."""
     finder = Finder(remote=3)
     for host in ("w0", "w1", "e0", "e1", "n0"):
-        finder.finder.update_reachability(host, True, ["s1"])
+        finder.finder.update_reachability(host, ["desk"], ["s1"])
     assert finder.choose() in ("e2", "n1", "n2")
 
 
