Do not take servers for lost that cut hosts cannot reach

Cause: three hosts that could not reach a server were evidence that it was lost, also when other hosts served requests on other servers that the three missed, too.

Change: a host whose report names servers that others have served since is no evidence.

--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -104,6 +104,8 @@
         self._unreached: dict[str, dict[HostId, float]] = {}
         self._isolated_pools: dict[HostId, frozenset[PoolId]] = {}
         self._unreachable: dict[HostId, frozenset[ServerId]] = {}
+        # Of the servers that a host cannot reach, those that others reached since.
+        self._served_elsewhere: dict[HostId, set[ServerId]] = {}
         self._gate_ids: dict[str, GateId] = {}
         self._gate_servers: dict[str, list[ServerId]] = {}
         self._loads: dict[str, GateLoad] = {}
@@ -145,11 +147,13 @@
         """
         self._isolated_pools[host] = frozenset(isolated_pools)
         self._unreachable[host] = frozenset(unreachable)
+        self._served_elsewhere.setdefault(host, set()).intersection_update(unreachable)
 
     def remove_reachability(self, host: HostId) -> None:
         """Forgets the reports of a host whose stream was lost."""
         self._isolated_pools.pop(host, None)
         self._unreachable.pop(host, None)
+        self._served_elsewhere.pop(host, None)
 
     def find(
         self, admitted: AdmittedRequest, exclude: Collection[ServerId] = ()
@@ -180,6 +184,10 @@
     def record_wait(self, target: Target, wait: float) -> None:
         """Records the wait that a gate reported with a response."""
         self._get_load(target.server).record(self._clock(), wait)
+        servers = self._gate_servers.get(target.server, ())
+        for host, unreachable in self._unreachable.items():
+            if host != target.host and unreachable.issuperset(servers):
+                self._served_elsewhere[host].update(servers)
 
     def record_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
         """Avoids a gate's host that cannot reach its server, or blocks a key range.
@@ -282,6 +290,7 @@
         """Returns the best host that may reach the servers of a gate.
 
         There is none if several hosts cannot reach them, as the servers are at fault.
+        Hosts are no evidence of this if they miss servers that others reach.
         """
         failed = self._list_unreached(gate)
         failed_domains = set()
@@ -291,7 +300,7 @@
             if not self._is_available(item.host, gate.pool):
                 continue
             if item.host in failed or self._reports_unreachable(item.host, gate):
-                failures += 1
+                failures += not self._served_elsewhere.get(item.host)
                 if failures == MAX_UNREACHED:
                     break
                 if item.host in failed:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -180,20 +180,25 @@
                     LiveHost(host=name, failure_domain=domain, stream=name)
                 )
         self.finder.update_hosts(self.hosts)
-        server = FleetServer(
-            server="s1",
-            born=1,
-            pool="desk",
-            address="10.0.0.1:80",
-            failure_domain="west",
-            slots=2,
-            draining=False,
-        )
-        self.gate = GateId(pool="desk", name="s1", failure_domain="west")
-        self.finder.update_fleet(FleetView(), {self.gate: [server]})
-        self.target = Target(
-            host="w0", server="s1", gate_epoch=0, revision=1, pool="desk"
-        )
+        gates = {}
+        for name in ("s1", "s2"):
+            gate = GateId(pool="desk", name=name, failure_domain="west")
+            server = FleetServer(
+                server=name,
+                born=1,
+                pool="desk",
+                address="10.0.0.1:80",
+                failure_domain="west",
+                slots=2,
+                draining=False,
+            )
+            gates[gate] = [server]
+        self.gate = next(iter(gates))
+        self.finder.update_fleet(FleetView(), gates)
+        self.target = self.build_target("w0", "s1")
+
+    def build_target(self, host, server):
+        return Target(host=host, server=server, gate_epoch=0, revision=1, pool="desk")
 
     def choose(self):
         return self.finder._choose_host(self.gate)
@@ -243,6 +248,25 @@
     assert len(tried) == MAX_UNREACHED
 
 
+def test_hosts_that_miss_servers_which_others_reach_are_no_evidence():
+    """Guards against servers that count as lost because most hosts are cut from them.
+
+    The hosts reach other servers, so that they are not isolated.
+    """
+    finder = Finder(remote=9)
+    cut = []
+    while finder.has_alternative():
+        cut.append(finder.choose())
+        finder.finder.update_reachability(cut[-1], [], ["s1", "s2"])
+    assert len(cut) == MAX_UNREACHED
+    finder.finder.record_wait(finder.build_target("n8", "s2"), 0.1)
+    assert finder.has_alternative()
+    assert finder.choose() not in cut
+    for host in cut:
+        finder.finder.update_reachability(host, [], ["s1"])
+    assert not finder.has_alternative()
+
+
 def test_isolated_hosts_are_no_evidence_against_a_server():
     """Guards against servers that count as lost because most hosts are cut off."""
     finder = Finder(remote=3)
