Read and log whether a server rests or shuts down

Cause: no line said whether a server that turns requests away names a time, so the hypotheses on resting servers could not be told apart.

Change: the client of a server reads Retry-After of responses with 503 and the header that says that the server shuts down, also from health responses, and the gate logs both when they change. Nothing acts on them yet.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -1,5 +1,6 @@
 """Abstract client interface for requests to one backend server."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
@@ -125,10 +126,15 @@
             its last response; 1 if it does not report any.
         request_limit: Requests per second that the server accepts from all hosts
             together, from its last response; None if it names no limit.
+        resting_until: Time on its clock until which the server asked this host for no
+            requests.
+        is_leaving: Whether a response said that the server is shutting down.
     """
 
     slowdown: float = 1.0
     request_limit: float | None = None
+    resting_until: float = -math.inf
+    is_leaving: bool = False
 
     @abstractmethod
     async def send(
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -227,6 +227,7 @@
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
         self._running: dict[RequestId, _Attempt] = {}
+        self._logged_states: dict[ServerId, tuple[float, bool]] = {}
         self._reachability = ReachabilityMonitor(
             clock=clock,
             random=random or Random(),
@@ -278,6 +279,7 @@
             if existing is not None and existing.born == record.born:
                 continue
             del self._backends[server]
+            self._logged_states.pop(server, None)
             self._request_limits.remove(server)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
@@ -631,15 +633,27 @@
         )
 
     def _handle_response(self, server: ServerId) -> None:
-        """Records that a server responded, and the request limit that it names."""
+        """Records that a server responded, and what it says of itself."""
         existing = self._backends.get(server)
         if existing is None:
             return
+        self._log_server_state(server, existing[1])
         self._reachability.record_contact(existing[0].pool)
         limit = existing[1].request_limit
         if self._request_limits.record_response(self._clock(), server, limit):
             _log_request_limit(server, limit or 0.0, "its response")
 
+    def _log_server_state(self, server: ServerId, backend: BackendProtocol) -> None:
+        state = (backend.resting_until, backend.is_leaving)
+        if self._logged_states.get(server, (-math.inf, False)) == state:
+            return
+        self._logged_states[server] = state
+        rest = backend.resting_until - self._clock()
+        if rest > 0:
+            logger.info("Server {} asks for {:.1f} s of rest.", server, rest)
+        if backend.is_leaving:
+            logger.info("Server {} says that it is shutting down.", server)
+
     def _get_backend(self, server: ServerId) -> BackendProtocol:
         existing = self._backends.get(server)
         if existing is not None:
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -50,8 +50,10 @@
 KEEPALIVE_TIMEOUT = 60.0  # seconds
 KEEPALIVE_TIMEOUT_SHARE = 0.6  # of the Keep-Alive timeout that the server announces
 READ_SIZE = 65_536  # bytes per read of a response body
+MAX_REST_TIME = 60.0  # seconds that a server may ask for; longer times are cut
 MAX_REFUSAL_BODY = 4_096  # bytes read from a refusal to keep its connection open
 
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
 _BODILESS_STATUSES = frozenset({204, 304})
 _OMITTED_DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -192,6 +194,7 @@
                     URL(f"http://{self.address}{path}", encoded=True),
                     allow_redirects=False,
                 )
+                self.read_server_state(response)
                 slowdown = self.read_slowdown(response)
                 await drain_refusal(response)
                 response.close()
@@ -238,7 +241,7 @@
         """
         if response.status == 503 and response.headers.get("X-Not-Run") == "1":
             await drain_refusal(response)
-            raise BackendRefused(retry_after=_read_retry_after(response))
+            raise BackendRefused(retry_after=read_retry_after(response))
         if response.status == 409 and response.headers.get("X-Fenced") == "1":
             await drain_refusal(response)
             raise BackendFenced()
@@ -252,6 +255,12 @@
                 self._max_idle_nonidempotent, self._max_idle
             )
 
+    def read_server_state(self, response: aiohttp.ClientResponse) -> None:
+        """Reads from any response whether the server wants further requests."""
+        if response.status == 503:
+            rest = min(read_retry_after(response) or 0.0, MAX_REST_TIME)
+            self.resting_until = max(self.resting_until, self._clock() + rest)
+
     def _build_response_class(self) -> type[aiohttp.ClientResponse]:
         # A server may send a response twice, the second one when the connection already
         # carries the next request. The echoed request id identifies such a duplicate.
@@ -274,6 +283,7 @@
             self.mismatched_responses += 1
             raise OutcomeUnknown("the response carries no request id")
         self.handle_response_head(response)
+        self.read_server_state(response)
         await self.check_refusal(response)
         if response.status < 200:
             raise OutcomeUnknown(f"unexpected informational status {response.status}")
@@ -470,9 +480,10 @@
         response.release()
 
 
-def _read_retry_after(response: aiohttp.ClientResponse) -> float | None:
-    text = response.headers.get("Retry-After", "")
-    return float(text) if text.isascii() and text.isdigit() else None
+def read_retry_after(response: aiohttp.ClientResponse) -> float | None:
+    """Returns the seconds of the Retry-After header, or None if it names none."""
+    text = response.headers.get("Retry-After", "").strip()
+    return float(text) if _SECONDS.fullmatch(text) else None
 
 
 def _list_forwarded_headers(
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -24,6 +24,7 @@
 SERVER_LOAD_HEADER = "X-Monsoonlug-Server-Load"
 # Requests per second that the server accepts from all hosts together.
 REQUEST_LIMIT_HEADERS = ("X-Monsoonlug-Server-Limit", "Server-Limit")
+LEAVING_HEADERS = ("X-Monsoonlug-Server-Leaving", "Server-Leaving")
 MISDIRECTED_STATUS = 421  # also sent by a server that does not hold the routing key
 
 CONNECT_TIMEOUT = 0.3  # seconds; opening a connection takes about 1 ms
@@ -98,6 +99,12 @@
         self.slowdown = self.read_slowdown(response) or self.slowdown
         self.request_limit = self._read_request_limit(response)
 
+    def read_server_state(self, response: aiohttp.ClientResponse) -> None:
+        """Reads whether the server is shutting down; see `HttpBackend`."""
+        super().read_server_state(response)
+        if any(response.headers.get(name) == "1" for name in LEAVING_HEADERS):
+            self.is_leaving = True
+
     def _read_request_limit(self, response: aiohttp.ClientResponse) -> float | None:
         for name in REQUEST_LIMIT_HEADERS:
             text = response.headers.get(name, "").strip()
