Show that servers that rest or shut down are still sent requests

Test: real processes, with and without keys, 200 requests a second. The load of the tests of cut entries moves to a module of its own, as these tests use it, too.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -120,6 +120,8 @@
 
     Attributes:
         arrivals: Time, path and body of each request.
+        rest: Seconds of rest that it asks for with each request that it turns away; 0
+            while it accepts requests.
         crashes: Times of the crashes.
     """
 
@@ -137,6 +139,7 @@
         self.arrivals = []
         self.crashes = []
         self.extra_headers = {}
+        self.rest = 0.0
         self._writers = set()
         self._tasks = set()
 
@@ -248,6 +251,16 @@
             )
             return True
         self.arrivals.append((time.monotonic(), path, body))
+        if self.rest:
+            lines = [
+                "HTTP/1.1 503 Resting",
+                "X-Monsoonlug-Not-Executed: 1",
+                f"X-Monsoonlug-Request-Id: {request_id}",
+                f"Retry-After: {self.rest}",
+                "Content-Length: 0",
+            ]
+            writer.write("\r\n".join([*lines, "", ""]).encode())
+            return True
         if path in self.deadly or body in self.deadly:
             self._spawn(self._crash())
             return False
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -4,9 +4,7 @@
 """
 
 import asyncio
-import itertools
 import time
-from collections import Counter
 from random import Random
 
 import pytest
@@ -28,7 +26,7 @@
 from monsoonlug.fleet_targets import UNREACHED_TIME, FleetTargetFinder
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import ClosingTimes, GateId, LiveHost
-from monsoonlug.ids import SLICE_COUNT, Ran, RequestClass
+from monsoonlug.ids import Ran, RequestClass
 from monsoonlug.serverqueue import (
     DEFAULT_SERVICE_TIME,
     MIN_SILENCE,
@@ -38,60 +36,15 @@
 )
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target
-from tests.platform_fleet import UNSAFE_PREFIX, Cut, PlatformFleet
+from tests.platform_fleet import Cut, PlatformFleet
+from tests.platform_load import Load, compute_share
 
-RATE = 200  # requests per second to all entries
 CUT_SECONDS = 4.0
 SETTLING_TIME = 2.0  # seconds after the start of a cut, which do not count
 HEAL_SECONDS = 1.5
 MIN_SERVED_RATIO = 0.9  # of first tries at cut entries to those at the others
 
 
-class Load:
-    """Callers that keep their connections, in turn at each entry."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.outcomes = []
-        self._tasks = set()
-        self._random = Random(1)
-
-    async def run(self):
-        started_at = time.monotonic()
-        for number in itertools.count():
-            entry = self.fleet.entries[number % len(self.fleet.entries)]
-            task = asyncio.create_task(self._send(entry, number))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            pause = started_at + (number + 1) / RATE - time.monotonic()
-            await asyncio.sleep(max(0.0, pause))
-
-    async def _send(self, entry, number):
-        at = time.monotonic()
-        is_unsafe = number % 4 == 0
-        status = await self.fleet.send(
-            entry,
-            UNSAFE_PREFIX if is_unsafe else "/lookup/",
-            request_id=f"id-{number}",
-            body=b"x" if is_unsafe else None,
-            key=self._random.randrange(SLICE_COUNT),
-        )
-        self.outcomes.append((at, entry.name, status))
-
-    def count(self, since, until):
-        """Returns by entry the number of requests by status."""
-        counts = {}
-        for at, name, status in self.outcomes:
-            if since <= at < until:
-                counts.setdefault(name, Counter())[status] += 1
-        return counts
-
-
-def compute_share(counts, names):
-    total = sum(sum(counts[name].values()) for name in names)
-    return sum(counts[name][200] for name in names) / total
-
-
 @pytest.mark.parametrize("keyed", [False, True])
 async def test_cut_entries_serve_their_callers(tmp_path, keyed):
     """Guards against entries that refuse what other entries could serve for them.
