Send nothing to a server for the time of rest that it asks for

Cause: the gate did not read Retry-After; each request learned of the refusal anew.

Change: the gate sends nothing to a resting server. Requests that only it may run are refused at once with server-resting if it rests too long for them, the others wait; requests of a pool go to other servers at once and need no retry budget.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -375,7 +375,7 @@
                     error=find_error(frame.code),
                     ran=Ran(frame.ran),
                     retry_after=frame.retry_after if frame.retry_after >= 0 else None,
-                    has_alternative=finder.has_alternative(self._target),
+                    has_alternative=finder.has_alternative(self._target, self._tried),
                 )
 
     def _record_crash(self) -> None:
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -20,6 +20,7 @@
     Refusal,
     ServerCrashed,
     ServerDraining,
+    ServerResting,
     ServerUnreachable,
     ShuttingDown,
     StreamClosed,
@@ -36,10 +37,13 @@
 # The gate could not connect to the backend server; another gate may be able to.
 UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
 GATE_ERRORS = UNREACHED_ERRORS | {HostIsolated}
+# The server does not run the request now; another server of the pool may.
+SERVER_ERRORS = frozenset((BackendRefused, Overloaded, ServerResting))
 # A request that fails with one of these put no load on a backend server, so a retry
 # does not count against the retry budget. When many keys move at once, the budget would
 # otherwise run out and refuse requests that the new owner can serve.
 REROUTABLE_ERRORS = GATE_ERRORS | {
+    ServerResting,
     BackendFenced,
     LeaseOver,
     NoOwner,
@@ -118,7 +122,7 @@
     Attributes:
         ran: What is known about whether the request ran.
         retry_after: Seconds to wait before a retry, or None if unknown.
-        has_alternative: Whether a gate at another host may reach the server.
+        has_alternative: Whether another host, or another server, may run the request.
     """
 
     attempt: int
@@ -401,11 +405,15 @@
             retriable = self._unreached < MAX_UNREACHED and event.has_alternative
         if event.error is HostIsolated:
             retriable = event.has_alternative
+        if event.error is ServerResting:
+            retriable = self._pooled and event.has_alternative
         if event.error in (OutcomeUnknown, ServerCrashed, ServerUnreachable):
             retriable = self._idempotent
         if retriable and self._is_safe_to_repeat():
             # Another gate may send the request at once.
-            is_gate_specific = event.error is Overloaded or event.error in GATE_ERRORS
+            is_gate_specific = event.error in GATE_ERRORS or (
+                self._pooled and event.error in SERVER_ERRORS
+            )
             wait = 0.0 if is_gate_specific else event.retry_after
             is_rerouted = event.error in REROUTABLE_ERRORS and event.ran is Ran.NOT_RUN
             retry = self._retry(now, wait or 0.0, is_rerouted=is_rerouted)
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -263,6 +263,13 @@
     status = 503
 
 
+class ServerResting(MonsoonlugError):
+    """The backend server asked for a time without requests and ran nothing."""
+
+    code = "server-resting"
+    status = 503
+
+
 class OutcomeUnknown(MonsoonlugError):
     """The answer was lost after the request may have reached a backend server."""
 
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -272,10 +272,17 @@
         penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
         return wait + penalty + TIE_RANGE * self._random.random()
 
-    def has_alternative(self, target: Target) -> bool:
-        """Returns whether a gate at another host may reach the server of a target."""
+    def has_alternative(self, target: Target, tried: Collection[ServerId]) -> bool:
+        """Returns whether another host, or another gate, may run a failed request."""
         gate = self._gate_ids.get(target.server)
-        return gate is None or self._find_host(gate) is not None
+        if gate is None:
+            return True
+        if target.slice != POOLED:
+            return self._find_host(gate) is not None
+        for other in self._pool_gates.get(gate.pool, ()):
+            if other.name not in tried and self._find_host(other) is not None:
+                return True
+        return False
 
     def _choose_host(self, gate: GateId) -> HostId:
         host = self._find_host(gate)
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -53,7 +53,12 @@
 from monsoonlug.messages import RequestHead
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
-from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, ServiceTimeModel
+from monsoonlug.serverqueue import (
+    RECONNECT_DELAY,
+    ServerQueue,
+    ServiceTimeModel,
+    build_rest_refusal,
+)
 
 # Servers of a pool without keys that share one gate. Responses of 5 KB from eight busy
 # servers saturate the 2 Mbit/s link of a small host; those of three use half of it.
@@ -227,7 +232,7 @@
         self._closing_times = closing_times
         self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
         self._running: dict[RequestId, _Attempt] = {}
-        self._logged_states: dict[ServerId, tuple[float, bool]] = {}
+        self._server_states: dict[ServerId, tuple[float, bool]] = {}
         self._reachability = ReachabilityMonitor(
             clock=clock,
             random=random or Random(),
@@ -279,7 +284,9 @@
             if existing is not None and existing.born == record.born:
                 continue
             del self._backends[server]
-            self._logged_states.pop(server, None)
+            if self._server_states.pop(server, None) is not None:
+                for queue in self._queues.values():
+                    queue.set_rest(self._clock(), server, -math.inf)
             self._request_limits.remove(server)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
@@ -337,7 +344,7 @@
                 continue
             for record in servers:
                 queue = self._get_queue(gate.name)
-                if queue.needs_probe(record.server, PROBE_COUNT):
+                if queue.needs_probe(self._clock(), record.server, PROBE_COUNT):
                     probes.append(self._probe_server(queue, record))
         await asyncio.gather(*probes)
 
@@ -353,6 +360,7 @@
             return
         if slowdown is not None:
             queue.record_probe(self._clock(), record.server, slowdown)
+        self._apply_server_state(record.server, backend)
 
     # Handlers of request streams.
 
@@ -468,6 +476,8 @@
                 record.server, slots=record.slots, cold_rate=pool.cold_rate
             )
             queue.close_server(record.server, self._closing_times.find(record.server))
+            rest, _ = self._server_states.get(record.server, (-math.inf, False))
+            queue.set_rest(now, record.server, rest)
             cold = self._cold_until.get(record.server, now) - now
             if cold > 0:
                 queue.set_cold(now, record.server, cold)
@@ -503,7 +513,7 @@
             outcome = Outcome.SHED
             self._handle_response(server)
             self._log_failure(job, server, error)
-            job.fail(error)
+            job.fail(self._replace_refusal(job, server, error))
         except StreamClosed:
             outcome = Outcome.ABANDONED
             job.close()
@@ -534,6 +544,19 @@
                 self._reachability.check(PoolId(job.head.pool), server)
             self.process_queues()
 
+    def _replace_refusal(
+        self, job: Job, server: ServerId, error: MonsoonlugError
+    ) -> MonsoonlugError:
+        """Returns the error of a request that a server turned away.
+
+        A resting server need not be tried again for a request that only it may run.
+        """
+        existing = self._backends.get(server)
+        if existing is None or job.head.slice == POOLED:
+            return error
+        rest = existing[1].resting_until - self._clock()
+        return build_rest_refusal(rest).build_error() if rest > 0 else error
+
     async def _try_connect(
         self, server: ServerId, timeout: float
     ) -> ConnectResult | None:
@@ -637,18 +660,22 @@
         existing = self._backends.get(server)
         if existing is None:
             return
-        self._log_server_state(server, existing[1])
+        self._apply_server_state(server, existing[1])
         self._reachability.record_contact(existing[0].pool)
         limit = existing[1].request_limit
         if self._request_limits.record_response(self._clock(), server, limit):
             _log_request_limit(server, limit or 0.0, "its response")
 
-    def _log_server_state(self, server: ServerId, backend: BackendProtocol) -> None:
+    def _apply_server_state(self, server: ServerId, backend: BackendProtocol) -> None:
+        """Acts on a server's wish to rest, and on its shutdown."""
         state = (backend.resting_until, backend.is_leaving)
-        if self._logged_states.get(server, (-math.inf, False)) == state:
+        if self._server_states.get(server, (-math.inf, False)) == state:
             return
-        self._logged_states[server] = state
-        rest = backend.resting_until - self._clock()
+        self._server_states[server] = state
+        now = self._clock()
+        for queue in self._queues.values():
+            queue.set_rest(now, server, backend.resting_until)
+        rest = backend.resting_until - now
         if rest > 0:
             logger.info("Server {} asks for {:.1f} s of rest.", server, rest)
         if backend.is_leaving:
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -9,7 +9,7 @@
 from monsoonlug.clocks import read_clock
 from monsoonlug.exceptions import BackendFenced, BackendRefused, BadRequest
 from monsoonlug.fleet_messages import FleetServer
-from monsoonlug.http_backend import HttpBackend, drain_refusal
+from monsoonlug.http_backend import HttpBackend, drain_refusal, read_retry_after
 from monsoonlug.ingress import CallerHeaders, CallerProtocol
 from monsoonlug.items import PoolItem
 
@@ -136,7 +136,7 @@
             raise BackendFenced()
         if NOT_RUN_HEADER in response.headers:
             await drain_refusal(response)
-            raise BackendRefused()
+            raise BackendRefused(retry_after=read_retry_after(response))
 
 
 def open_backend(record: FleetServer, pool: PoolItem) -> PlatformBackend:
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -21,6 +21,7 @@
     Overloaded,
     Refusal,
     ServerDraining,
+    ServerResting,
 )
 from monsoonlug.fairness import FairQueue, QueuedRequest
 from monsoonlug.gate import Outcome, RefusedRequest
@@ -58,6 +59,8 @@
 SLOWDOWN_REPORT_INTERVAL = 0.2  # seconds between two of these reports
 BASE_LATENCY_WEIGHT = 0.05  # of one response in a server's mean service time
 MAX_REPORT_AGE = 1.0  # seconds for which an idle server is reported after a probe
+# Seconds after which the keys of a resting server have another owner.
+KEY_MOVE_TIME = 1.0
 RECONNECT_DELAY = 0.5  # seconds until an unreachable server is tried again
 MIN_SILENCE = 0.3  # seconds without a response until a server may be silent
 SILENCE_FACTOR = 2.5  # times the expected service time; the same for slow requests
@@ -187,6 +190,7 @@
     cold_until: float = 0.0
     closed_at: float = math.inf
     unreachable_until: float = 0.0
+    resting_until: float = -math.inf
     slowdown: float = 1.0
     slowdown_reported_at: float = -math.inf
     next_cold_send: float = 0.0
@@ -201,10 +205,15 @@
     def is_cold(self, now: float) -> bool:
         return now < self.cold_until
 
+    @property
+    def paused_until(self) -> float:
+        """Time until which nothing is sent, whatever the server's load."""
+        return max(self.unreachable_until, self.resting_until)
+
     def may_send(self, now: float) -> bool:
         if len(self.running) >= self.slots or now >= self.closed_at:
             return False
-        if now < self.unreachable_until:
+        if now < self.paused_until:
             return False
         return now >= self.find_next_send(now)
 
@@ -338,11 +347,13 @@
             if down_for > 0:
                 return Refusal(error=ConnectFailed, retry_after=down_for)
         if server is None:
-            down_for = self._find_outage(now)
-            if down_for > 0:
-                return Refusal(error=ConnectFailed, retry_after=down_for)
+            refusal = self._find_outage(now)
+            if refusal is not None:
+                return refusal
         if now >= request.deadline:
             return Refusal(error=DeadlineExceeded)
+        if server is not None and self._rests_too_long(now, request, server):
+            return self._refuse_resting(now, server)
         wait, service_time = self._predict(now, request, server)
         lateness = now + wait + service_time + RESPONSE_DELIVERY_TIME - request.deadline
         # An idle server is always tried; otherwise one slow response could make the
@@ -437,8 +448,8 @@
             return None
         wake = now + SWEEP_INTERVAL
         for server in self._servers.values():
-            if server.unreachable_until > now:
-                wake = min(wake, server.unreachable_until)
+            if server.paused_until > now:
+                wake = min(wake, server.paused_until)
             if len(server.running) < server.slots:
                 at = server.find_next_send(now)
                 wake = min(wake, at) if at > now else wake
@@ -458,10 +469,12 @@
         if state is not None:
             state.speed.record_slowdown(now, slowdown)
 
-    def needs_probe(self, server: ServerId, count: int) -> bool:
-        """Returns whether a server reported its slowdown less often than this."""
+    def needs_probe(self, now: float, server: ServerId, count: int) -> bool:
+        """Returns whether to ask a server that reported its slowdown less often."""
         state = self._servers.get(server)
-        return state is not None and state.speed.report_count < count
+        if state is None or now < state.paused_until or now >= state.closed_at:
+            return False
+        return state.speed.report_count < count
 
     def iterate_reports(self, now: float) -> Iterator[ServerReport]:
         """Yields what was measured of each server in use or recently probed."""
@@ -515,6 +528,15 @@
         if state is not None:
             self._mark_unreachable(now, state)
 
+    def set_rest(self, now: float, server: ServerId, until: float) -> None:
+        """Sends nothing to a server until a time, as it asked for."""
+        state = self._servers.get(server)
+        if state is None or state.resting_until == until:
+            return
+        state.resting_until = until
+        self._refuse_in_outage(now)
+        self._last_sweep_at = -math.inf
+
     def mark_reachable(self, now: float, server: ServerId) -> None:
         """Ends the pause of a server that this host can connect to again."""
         state = self._servers.get(server)
@@ -524,15 +546,46 @@
     def _mark_unreachable(self, now: float, server: _ServerState) -> None:
         """Refuses the requests that wait for a server and pauses sending to it."""
         server.unreachable_until = now + RECONNECT_DELAY
-        is_outage = self._find_outage(now) > 0
         for request, only_server in list(self._waiting.values()):
-            if only_server == server.name or (only_server is None and is_outage):
+            if only_server == server.name:
                 refusal = Refusal(error=ConnectFailed, retry_after=RECONNECT_DELAY)
                 self._refuse(request, refusal)
+        self._refuse_in_outage(now)
+
+    def _refuse_in_outage(self, now: float) -> None:
+        """Refuses requests for any server if none is tried now."""
+        refusal = self._find_outage(now)
+        if refusal is None:
+            return
+        for request, only_server in list(self._waiting.values()):
+            if only_server is None:
+                self._refuse(request, refusal)
+
+    def _find_outage(self, now: float) -> Refusal | None:
+        """Returns why no server of the gate is tried now, or None if one is."""
+        first = min(self._servers.values(), key=lambda item: item.paused_until)
+        if first.paused_until <= now:
+            return None
+        is_unreachable = first.unreachable_until > now
+        return Refusal(
+            error=ConnectFailed if is_unreachable else ServerResting,
+            retry_after=first.paused_until - now,
+        )
+
+    def _rests_too_long(
+        self, now: float, request: QueuedRequest, server: ServerId
+    ) -> bool:
+        """Returns whether a server rests until it is too late for a request."""
+        rest = self._servers[server].resting_until - now
+        if rest <= 0:
+            return False
+        service_time = self._service_model.estimate(request.route, server)
+        if now + rest + MIN_REMAINING_SHARE * service_time > request.deadline:
+            return True
+        return rest > self._find_max_wait(now, request, service_time)
 
-    def _find_outage(self, now: float) -> float:
-        """Returns for how many seconds no server of the gate is tried; 0 if one is."""
-        return min(item.unreachable_until for item in self._servers.values()) - now
+    def _refuse_resting(self, now: float, server: ServerId) -> Refusal:
+        return build_rest_refusal(self._servers[server].resting_until - now)
 
     def _record_arrival(
         self, now: float, server: _ServerState, request: QueuedRequest
@@ -596,7 +649,7 @@
             wait = self._estimate_wait(
                 now, server, ahead * latency_factor / share, count / share
             )
-            wait = max(wait, server.unreachable_until - now)
+            wait = max(wait, server.paused_until - now)
             service_time = self._service_model.estimate(route, server.name)
             if wait + service_time < sum(best):
                 best = (wait, service_time)
@@ -648,7 +701,7 @@
         best = min(ready, key=lambda item: self._rank_server(now, item))
         best_time = self._service_model.estimate("", best.name) * best.get_slowdown(now)
         for other in self._servers.values():
-            if other in ready or other.is_cold(now) or now < other.unreachable_until:
+            if other in ready or other.is_cold(now) or now < other.paused_until:
                 continue
             wait = self._estimate_wait(now, other, 0.0, 0.0)
             service_time = self._service_model.estimate(
@@ -667,6 +720,9 @@
             if server is not None and now >= self._servers[server].closed_at:
                 self._refuse(request, Refusal(error=ServerDraining))
                 continue
+            if server is not None and self._rests_too_long(now, request, server):
+                self._refuse(request, self._refuse_resting(now, server))
+                continue
             service_time = self._estimate_service(request, server)
             if now + MIN_REMAINING_SHARE * service_time <= request.deadline:
                 continue
@@ -704,6 +760,15 @@
         self._refused.append((request, refusal))
 
 
+def build_rest_refusal(rest: float) -> Refusal:
+    """Returns the refusal of a request whose key a resting server owns.
+
+    Args:
+        rest: Seconds until the server accepts requests again.
+    """
+    return Refusal(error=ServerResting, retry_after=min(rest, KEY_MOVE_TIME))
+
+
 def _refuse_overloaded(retry_after: float) -> Refusal:
     retry_after = min(max(retry_after, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
     error: type[MonsoonlugError] = Overloaded
--- a/src/monsoonlug/targets.py
+++ b/src/monsoonlug/targets.py
@@ -134,8 +134,13 @@
     def record_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
         """Records the error of a failed attempt; does nothing by default."""
 
-    def has_alternative(self, target: Target) -> bool:
-        """Returns whether a gate at another host may reach the server of a target."""
+    def has_alternative(self, target: Target, tried: Collection[ServerId]) -> bool:
+        """Returns whether another host, or another server, may run a failed request.
+
+        Args:
+            target: Target of the last attempt.
+            tried: Servers to which the request was sent.
+        """
         return True
 
     async def wait(
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -198,13 +198,15 @@
         self.target = self.build_target("w0", "s1")
 
     def build_target(self, host, server):
-        return Target(host=host, server=server, gate_epoch=0, revision=1, pool="desk")
+        return Target(
+            host=host, server=server, gate_epoch=0, revision=1, slice=5, pool="desk"
+        )
 
     def choose(self):
         return self.finder._choose_host(self.gate)
 
     def has_alternative(self):
-        return self.finder.has_alternative(self.target)
+        return self.finder.has_alternative(self.target, ())
 
     def isolate(self, host, pools=("desk",)):
         self.finder.update_reachability(host, pools, [])
--- a/tests/test_reroutes.py
+++ b/tests/test_reroutes.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from monsoonlug.dispatch import (
     AttemptFailed,
     Attempts,
@@ -13,7 +15,12 @@
     Sending,
     TimerFired,
 )
-from monsoonlug.exceptions import NotGate, StreamClosed
+from monsoonlug.exceptions import (
+    BackendRefused,
+    NotGate,
+    ServerResting,
+    StreamClosed,
+)
 from monsoonlug.ids import Ran
 
 MAX_GATE_FAILOVER = 0.8  # seconds until a failed gate is replaced
@@ -88,7 +95,49 @@
     assert budget.available < 1
 
 
-def _build_failure(attempts, error=NotGate):
+@pytest.mark.parametrize("error", [BackendRefused, ServerResting])
+def test_other_server_is_tried_at_once_if_one_wants_rest(error):
+    """Guards against requests that wait as long as one server of the pool rests."""
+    attempts = Attempts(
+        request_id="r",
+        idempotent=False,
+        pooled=True,
+        deadline=1.5,
+        budget=RetryBudget(),
+        drops=DropCounts(),
+        random=Random(1),
+    )
+    attempts.decide(0.0, Begin())
+    attempts.decide(0.0, Sending(attempt=1))
+    action = attempts.decide(0.0, _build_failure(attempts, error, retry_after=3.0))
+    assert isinstance(action, Retry)
+    assert action.at < 0.05
+
+
+def test_request_is_refused_at_once_if_its_only_server_rests():
+    """Guards against requests that are held though they cannot be served in time."""
+    attempts = Attempts(
+        request_id="r",
+        idempotent=True,
+        pooled=False,
+        deadline=1.5,
+        budget=RetryBudget(),
+        drops=DropCounts(),
+        random=Random(1),
+    )
+    attempts.decide(0.0, Begin())
+    attempts.decide(0.0, Sending(attempt=1))
+    failure = _build_failure(attempts, ServerResting, retry_after=1.0)
+    action = attempts.decide(0.0, failure)
+    assert isinstance(action, Refuse)
+    assert action.refusal.retry_after == 1.0
+
+
+def _build_failure(attempts, error=NotGate, retry_after=None):
     return AttemptFailed(
-        attempt=attempts.attempt, request_id="r", error=error, ran=Ran.NOT_RUN
+        attempt=attempts.attempt,
+        request_id="r",
+        error=error,
+        ran=Ran.NOT_RUN,
+        retry_after=retry_after,
     )
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -4,12 +4,23 @@
 
 import pytest
 
-from monsoonlug.exceptions import ConnectFailed, NotGate, Overloaded, ServerDraining
+from monsoonlug.exceptions import (
+    ConnectFailed,
+    NotGate,
+    Overloaded,
+    ServerDraining,
+    ServerResting,
+)
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Outcome
-from monsoonlug.ids import RequestClass
+from monsoonlug.ids import Ran, RequestClass
 from monsoonlug.request_limits import BURST, RequestLimits
-from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, ServiceTimeModel
+from monsoonlug.serverqueue import (
+    KEY_MOVE_TIME,
+    RECONNECT_DELAY,
+    ServerQueue,
+    ServiceTimeModel,
+)
 
 
 class SimulatedGate:
@@ -208,6 +219,54 @@
     assert gate.queue.count_overdue_servers(0.31, 0.3) == 2
 
 
+def test_nothing_is_sent_to_a_resting_server():
+    """Guards against requests in the time in which a server wants none."""
+    gate = SimulatedGate("s1")
+    waiting, _ = gate.add(server="s1")
+    gate.add(server="s1")
+    gate.add(server="s1")
+    gate.queue.set_rest(0.0, "s1", 3.0)
+    gate.process_queue()
+    assert [error.error for _, error in gate.refused] == [ServerResting]
+    _, refusal = gate.add(server="s1", deadline=1.5)
+    assert refusal.error is ServerResting
+    assert refusal.ran is Ran.NOT_RUN
+    assert 0 < refusal.retry_after <= KEY_MOVE_TIME
+    gate.advance(3.0)
+    assert len(gate.started) == 2
+    gate.add(server="s1")
+    assert len(gate.started) == 3
+
+
+def test_request_waits_for_the_end_of_a_short_rest():
+    """Guards against refusals of what the server could still run in time."""
+    gate = SimulatedGate("s1")
+    gate.queue.set_rest(0.0, "s1", 0.03)
+    _, refusal = gate.add(server="s1")
+    assert refusal is None
+    assert gate.started == []
+    gate.advance(0.05)
+    assert len(gate.started) == 1
+
+
+def test_shared_requests_pass_by_a_resting_server():
+    """Guards against requests that wait for one server while another is free."""
+    gate = SimulatedGate("s1", "s2")
+    gate.queue.set_rest(0.0, "s1", 3.0)
+    for _ in range(5):
+        gate.add()
+        gate.advance(0.2)
+    assert {server for _, _, server in gate.started} == {"s2"}
+    gate.add()
+    gate.add()
+    gate.add()
+    gate.queue.set_rest(gate.now, "s2", gate.now + 1.0)
+    gate.process_queue()
+    _, refusal = gate.add()
+    assert refusal.error is ServerResting
+    assert [item.error for _, item in gate.refused] == 2 * [ServerResting]
+
+
 def test_nothing_is_sent_to_a_closed_server():
     """Guards against new requests to a server whose leave was acknowledged."""
     gate = SimulatedGate("a")
