Move the keys of a resting server to the others

Cause: control did not know that servers rest, and moved keys by load only.

Change: entries report to control what servers say of themselves. A server that wants more than 1 s of rest releases its keys with its next heartbeat, and gets none until a second after its rest, twice as long after each further one. Keys stay if more than half of a pool's servers rest.

Five new tests of the registrar.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -141,6 +141,7 @@
             closing_times=self._closing_times,
             open_backend=self._open_backend,
             random=random,
+            on_notice=self._subscription.send_heartbeat_now,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -406,6 +407,7 @@
             servers=self._gate_host.list_server_loads(),
             limits=self._gate_host.list_request_limits(),
             outcomes=outcomes,
+            notices=self._gate_host.list_server_notices(),
         )
 
     def _apply_verdict(self, verdict: RequestVerdict) -> None:
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -10,6 +10,7 @@
 from monsoonlug.keyranges import LAST_KEY, KeyRange
 
 MAX_REPORTED_NUMBER = 1_000_000_000  # in a row of an entry's heartbeat
+MAX_START_TIME_MS = 2**53  # of a process, in Unix milliseconds
 
 # Changes of the view.
 
@@ -168,6 +169,7 @@
             share that the last leader reported.
         limits: Rows with the fields of `LimitReport`.
         outcomes: Rows with the fields of `OutcomeReport`; 1 for a crash, 0 otherwise.
+        notices: Rows with the fields of `ServerNotice`; 1 for true, 0 for false.
     """
 
     sequence: int
@@ -182,6 +184,23 @@
     wanted: dict
     limits: list = field(default_factory=list)
     outcomes: list = field(default_factory=list)
+    notices: list = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerNotice:
+    """What a backend server says of itself in its responses to one host.
+
+    Attributes:
+        born: Start time of the process, in Unix milliseconds.
+        rest: Seconds for which it wants no more requests from the host; 0 if it does.
+        is_leaving: Whether it is shutting down.
+    """
+
+    server: ServerId
+    born: int
+    rest: float
+    is_leaving: bool
 
 
 @messages.register(231)
@@ -375,6 +394,12 @@
     _check_rows("servers", heartbeat.servers, (str, _NUMBER, _NUMBER, _NUMBER))
     _check_rows("limits", heartbeat.limits, (str, _NUMBER, _NUMBER))
     _check_rows("outcomes", heartbeat.outcomes, (str, str, int, _NUMBER))
+    _check_rows(
+        "notices",
+        heartbeat.notices,
+        (str, int, _NUMBER, int),
+        maximum=MAX_START_TIME_MS,
+    )
     check_wanted_tokens(heartbeat.wanted)
 
 
@@ -401,7 +426,14 @@
     _check_rows("wanted", wanted.values(), (int, int, _NUMBER), minimum=-1)
 
 
-def _check_rows(name: str, rows: Iterable, types: tuple, *, minimum: int = 0) -> None:
+def _check_rows(
+    name: str,
+    rows: Iterable,
+    types: tuple,
+    *,
+    minimum: int = 0,
+    maximum: int = MAX_REPORTED_NUMBER,
+) -> None:
     for row in rows:
         if not isinstance(row, list) or len(row) != len(types):
             raise DamagedFrame(f"a row of {name} does not have {len(types)} values")
@@ -410,7 +442,7 @@
                 raise DamagedFrame(
                     f"a row of {name} has a value of type {type(value).__name__}"
                 )
-            if expected is not str and not minimum <= value <= MAX_REPORTED_NUMBER:
+            if expected is not str and not minimum <= value <= maximum:
                 raise DamagedFrame(f"a row of {name} has the value {value}")
 
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -210,6 +210,7 @@
         open_backend: Returns the client of a server.
         closing_times: Closing times of servers out of service; updated by their owner.
         random: Source of the choice of servers to check.
+        on_notice: Called when `list_server_notices` has a new row.
     """
 
     def __init__(
@@ -219,7 +220,9 @@
         closing_times: ClosingTimes,
         open_backend: Callable[[FleetServer, PoolItem], BackendProtocol],
         random: Random | None = None,
+        on_notice: Callable[[], None] = lambda: None,
     ):
+        self._on_notice = on_notice
         self._clock = clock
         self._open_backend = open_backend
         self._view = FleetView()
@@ -330,6 +333,18 @@
             rows.append([report.server, report.limit, round(report.age, 3)])
         return rows
 
+    def list_server_notices(self) -> list[list]:
+        """Returns what servers say of themselves as rows of `FleetHeartbeat`."""
+        now = self._clock()
+        rows = []
+        for server, (resting_until, is_leaving) in self._server_states.items():
+            rest = max(0.0, resting_until - now)
+            if rest <= 0 and not is_leaving:
+                continue
+            record, _ = self._backends[server]
+            rows.append([server, record.born, round(rest, 3), int(is_leaving)])
+        return rows
+
     async def probe_servers(self, is_own: Callable[[GateId], bool]) -> None:
         """Asks servers whose speed is not known yet how slow their machines are.
 
@@ -680,6 +695,7 @@
             logger.info("Server {} asks for {:.1f} s of rest.", server, rest)
         if backend.is_leaving:
             logger.info("Server {} says that it is shutting down.", server)
+        self._on_notice()
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
         existing = self._backends.get(server)
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -32,6 +32,7 @@
     KeyStatusBatch,
     LiveHostList,
     RequestStateChanged,
+    ServerNotice,
     check_heartbeat,
     check_wanted_tokens,
 )
@@ -289,6 +290,14 @@
         for server, limit, age in heartbeat.limits:
             report = LimitReport(server=ServerId(server), limit=limit, age=age)
             self.registrar.limits.record(now, HostId(heartbeat.host), report)
+        for server, born, rest, is_leaving in heartbeat.notices:
+            notice = ServerNotice(
+                server=ServerId(server),
+                born=born,
+                rest=rest,
+                is_leaving=bool(is_leaving),
+            )
+            self.registrar.record_notice(now, notice)
         for fingerprint, gate, has_crashed, age in heartbeat.outcomes:
             report = OutcomeReport(
                 fingerprint=Fingerprint(fingerprint),
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -32,6 +32,7 @@
     RemoveServer,
     ServerCold,
     ServerLimited,
+    ServerNotice,
     covers_all_keys,
     pack_range,
     read_range,
@@ -65,6 +66,12 @@
 MIN_LATENCY_RATIO = 1.5
 MIN_LATENCY_FACTOR = 0.2
 MAX_LATENCY_FACTOR = 12.0
+# Seconds of rest from which keys move to other servers, which takes about one second.
+MIN_REST_TO_MOVE = 1.0
+REST_BACKOFF = 1.0  # seconds after a rest without new keys; doubles with each rest
+MAX_REST_BACKOFF = 8.0  # seconds
+REST_MEMORY = 5.0  # seconds from the end of a rest until the next one counts as first
+MAX_RESTING_SHARE = 0.5  # of a pool's servers, whose keys the others can take
 UTILIZATION_WEIGHT = 0.3  # of a new report, in a server's average utilization
 
 logger = get_logger("control")
@@ -81,6 +88,9 @@
         base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
         deferrals: Heartbeats at which a release waited for a timely target.
         held: Start, end and epoch of the ranges that it holds.
+        resting_until: Time until which it wants no requests.
+        avoided_until: Time until which it gets no keys.
+        rest_count: Number of its rests one after the other.
     """
 
     born: int
@@ -94,6 +104,18 @@
     base_latency: float = 0.0
     deferrals: int = 0
     held: frozenset[tuple[int, int, int]] = frozenset()
+    resting_until: float = -math.inf
+    avoided_until: float = -math.inf
+    rest_count: int = 0
+
+    def record_rest(self, now: float, rest: float) -> None:
+        """Records that the process wants no requests for some seconds."""
+        if now > self.resting_until:
+            is_repeated = now < self.avoided_until + REST_MEMORY
+            self.rest_count = self.rest_count + 1 if is_repeated else 1
+        self.resting_until = max(self.resting_until, now + rest)
+        backoff = min(REST_BACKOFF * 2 ** (self.rest_count - 1), MAX_REST_BACKOFF)
+        self.avoided_until = self.resting_until + backoff
 
 
 @dataclass(slots=True, kw_only=True)
@@ -335,6 +357,16 @@
         process.base_latency = base_latency
         process.utilization += UTILIZATION_WEIGHT * (utilization - process.utilization)
 
+    def record_notice(self, now: float, notice: ServerNotice) -> None:
+        """Records what a server said of itself in a response."""
+        process = self._processes.get(notice.server)
+        if process is None or process.born != notice.born:
+            return
+        record = self._view.servers.get(notice.server)
+        if notice.rest > 0 and record is not None:
+            process.record_rest(now, notice.rest)
+            self._get_plan(record.pool).candidates_at = -math.inf
+
     # Periodic decisions.
 
     def plan_commands(self, now: float) -> list[FleetCommand]:
@@ -412,12 +444,9 @@
     ) -> dict[ServerId, ServerLoad]:
         candidates = {}
         plan = self._get_plan(pool)
-        for record in self._view.servers.values():
-            process = self._processes.get(record.server)
-            if record.pool != pool or process is None or process.has_left:
-                continue
-            if not self._view.is_in_service(record) or self._is_silent(now, process):
-                continue
+        records = self._list_usable(now, pool)
+        for record in records:
+            process = self._processes[record.server]
             candidates[record.server] = ServerLoad(
                 server=record.server,
                 failure_domain=record.failure_domain,
@@ -448,6 +477,23 @@
                 )
         return candidates
 
+    def _list_usable(self, now: float, pool: PoolId) -> list[FleetServer]:
+        """Returns the servers of a pool that may own keys."""
+        usable = []
+        rested = []
+        for record in self._view.servers.values():
+            process = self._processes.get(record.server)
+            if record.pool != pool or process is None or process.has_left:
+                continue
+            if not self._view.is_in_service(record) or self._is_silent(now, process):
+                continue
+            usable.append(record)
+            if now >= process.avoided_until:
+                rested.append(record)
+        return (
+            rested if len(rested) >= (1 - MAX_RESTING_SHARE) * len(usable) else usable
+        )
+
     def _set_latency_factors(self, candidates: dict[ServerId, ServerLoad]) -> None:
         # Gates report absolute times, as each measures only a few servers of a pool.
         processes = {server: self._processes[server] for server in candidates}
@@ -615,7 +661,9 @@
         self, now: float, record: FleetServer, process: _Process, table: KeyTable
     ) -> None:
         plan = self._get_plan(record.pool)
-        if self._view.is_in_service(record):
+        if self._view.is_in_service(record) and not self._must_rest(
+            now, record, process, table
+        ):
             moves = [
                 item for item in plan.planned_moves if item.source == record.server
             ]
@@ -656,6 +704,14 @@
         if has_started:
             process.deferrals = 0
 
+    def _must_rest(
+        self, now: float, record: FleetServer, process: _Process, table: KeyTable
+    ) -> bool:
+        """Returns whether a server rests long enough for its keys to move."""
+        if process.resting_until - now < MIN_REST_TO_MOVE:
+            return False
+        return record.server not in self._get_candidates(now, record.pool, table)
+
     def _choose_target(
         self,
         now: float,
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -125,6 +125,7 @@
     servers: list = field(default_factory=list)
     limits: list = field(default_factory=list)
     outcomes: list = field(default_factory=list)
+    notices: list = field(default_factory=list)
 
 
 class Subscription:
@@ -284,6 +285,7 @@
             else {},
             limits=reports.limits,
             outcomes=reports.outcomes,
+            notices=reports.notices,
         )
         self._sent_at[self._sequence] = now
         while len(self._sent_at) > MAX_UNANSWERED_HEARTBEATS:
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -5,13 +5,16 @@
     KeyStatus,
     ServerCold,
     ServerLimited,
+    ServerNotice,
 )
 from monsoonlug.heartbeats import ServerHeartbeat
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.registrar import (
     INITIAL_ASSIGNMENT_DELAY,
     LEASE_TIMEOUT,
+    MAX_REST_BACKOFF,
     REMOVAL_TIMEOUT,
+    REST_BACKOFF,
     Registrar,
 )
 from monsoonlug.request_limits import LimitReport
@@ -375,3 +378,86 @@
     notice = ServerLimited(server="s1", limit=1.0, senders=1)
     assert notice in leader.registrar.take_notices()
     assert notice in leader.registrar.list_status(leader.now)
+
+
+def send_notice(leader, server, *, born=1, rest=0.0, is_leaving=False):
+    notice = ServerNotice(server=server, born=born, rest=rest, is_leaving=is_leaving)
+    leader.registrar.record_notice(leader.now, notice)
+
+
+def run_heartbeats(leader, servers, held, seconds, *, rest_of=()):
+    """Sends heartbeats in turn; servers release what their responses leave out."""
+    freed = {server: [] for server in servers}
+    until = leader.now + seconds
+    while leader.now < until:
+        for server in servers:
+            leader.now += PERIOD / len(servers)
+            for resting in rest_of:
+                send_notice(leader, resting, rest=3.0)
+            rows = [(row.start, row.end, row.epoch) for row in held[server]]
+            granted = leader.send_heartbeat(server, held=rows, freed=freed[server])
+            kept = {(row.start, row.end) for row in granted}
+            freed[server] = [
+                (row.start, row.end, "token")
+                for row in held[server]
+                if (row.start, row.end) not in kept
+            ]
+            held[server] = granted
+            leader.run_timer()
+
+
+def test_keys_leave_a_resting_server_and_come_back():
+    """Guards against requests that are refused as long as one server rests."""
+    leader = Leader()
+    servers = ("s1", "s2", "s3")
+    leader.start_servers(*servers)
+    held = {server: leader.send_heartbeat(server) for server in servers}
+    run_heartbeats(leader, servers, held, 2 * PERIOD, rest_of=["s1"])
+    assert leader.count_keys("s1") == 0
+    assert leader.count_keys("s2") > 0
+    run_heartbeats(leader, servers, held, 4.1)
+    candidates = leader.registrar._list_usable(leader.now, "desk")
+    assert [record.server for record in candidates] == ["s1", "s2", "s3"]
+
+
+def test_keys_stay_during_a_short_rest(leader):
+    """Guards against moves that take longer than the rest itself."""
+    before = leader.count_keys("s1")
+    send_notice(leader, "s1", rest=0.5)
+    leader.send_heartbeat("s1")
+    assert leader.registrar.renew_lease(leader.now, "s1", 1).ranges
+    assert leader.count_keys("s1") == before
+
+
+def test_keys_stay_if_most_servers_rest(leader):
+    """Guards against the keys of all servers moving to the last one."""
+    send_notice(leader, "s1", rest=5.0)
+    send_notice(leader, "s2", rest=5.0)
+    for server in ("s1", "s2"):
+        assert leader.send_heartbeat(server)
+
+
+def test_server_that_rests_again_and_again_gets_keys_later_each_time(leader):
+    """Guards against keys that move to a server which turns them away at once."""
+    pauses = []
+    for _ in range(6):
+        send_notice(leader, "s1", rest=2.0)
+        rested_at = leader.now + 2.0
+        leader.now = rested_at
+        while len(leader.registrar._list_usable(leader.now, "desk")) < 2:
+            leader.now += 0.1
+            leader.send_heartbeat("s1")
+            leader.send_heartbeat("s2")
+        pauses.append(round(leader.now - rested_at, 1))
+    assert pauses == sorted(pauses)
+    assert pauses[0] <= REST_BACKOFF + 0.1
+    assert REST_BACKOFF < pauses[-1] <= MAX_REST_BACKOFF + 0.1
+
+
+def test_rest_of_an_earlier_process_changes_nothing(leader):
+    """Guards against a restarted server that counts as resting."""
+    leader.send_heartbeat("s1", born=2)
+    send_notice(leader, "s1", born=1, rest=5.0)
+    leader.now += 1.0
+    leader.send_heartbeat("s2")
+    assert len(leader.registrar._list_usable(leader.now, "desk")) == 2
