Stop sending to servers whose responses say that they shut down

What callers would see: an entry that is cut off from control goes on sending to a server that has left, up to the moment at which the server exits.

Cause: only the view, which comes from control, took a server out of use.

Change: a gate closes a server 1.2 s after a response with Server-Leaving, reports it to the entries on its streams, which close it as well, and to control, which drains it. A later process of the same name is not affected. Closed servers do not count as busy ones that requests of a pool should wait for.

Tests of the queue, the registrar and the closing times.

--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -38,7 +38,7 @@
 UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
 GATE_ERRORS = UNREACHED_ERRORS | {HostIsolated}
 # The server does not run the request now; another server of the pool may.
-SERVER_ERRORS = frozenset((BackendRefused, Overloaded, ServerResting))
+SERVER_ERRORS = frozenset((BackendRefused, Overloaded, ServerDraining, ServerResting))
 # A request that fails with one of these put no load on a backend server, so a retry
 # does not count against the retry budget. When many keys move at once, the budget would
 # otherwise run out and refuse requests that the new owner can serve.
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -22,15 +22,15 @@
 from monsoonlug.fleet import FleetView, ViewPart
 from monsoonlug.fleet_messages import (
     FleetServer,
-    HostReachability,
+    GateReport,
     Ping,
     Pong,
-    check_reachability,
+    check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
 from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
 from monsoonlug.host_links import HostLinks, StreamPeer
-from monsoonlug.ids import FailureDomain, HostId
+from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
 from monsoonlug.items import PoolItem
 from monsoonlug.links import Listener
@@ -336,11 +336,13 @@
         match message:
             case Pong():
                 return
-            case HostReachability():
-                check_reachability(message)
+            case GateReport():
+                check_gate_report(message)
                 self._finder.update_reachability(
                     host, message.isolated_pools, message.unreachable
                 )
+                for server, born in message.leaving:
+                    self._gate_host.record_leaving(ServerId(server), born)
             case _:
                 self._exchanges.receive(host, message)
 
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -365,18 +365,21 @@
 
 @messages.register(243)
 @dataclass(frozen=True, slots=True, kw_only=True)
-class HostReachability:
-    """Reports which backend servers the sending host cannot connect to.
+class GateReport:
+    """Reports what the gates of the sending host found out about backend servers.
 
     It is sent to the entries with an open stream, after each change and on opening.
 
     Attributes:
         isolated_pools: Pools of which the host reaches no server.
         unreachable: Names of the servers that were found to be unreachable.
+        leaving: Rows of the name and the start time, in Unix milliseconds, of servers
+            whose responses say that they shut down.
     """
 
     isolated_pools: list
     unreachable: list
+    leaving: list
 
 
 _NUMBER = (int, float)
@@ -403,15 +406,16 @@
     check_wanted_tokens(heartbeat.wanted)
 
 
-def check_reachability(report: HostReachability) -> None:
-    """Checks the names in a report, which decoding leaves unchecked.
+def check_gate_report(report: GateReport) -> None:
+    """Checks the rows of a report, which decoding leaves unchecked.
 
     Raises:
-        DamagedFrame: If a name is not a string.
+        DamagedFrame: If a row is malformed.
     """
     names = (*report.isolated_pools, *report.unreachable)
     if not all(isinstance(name, str) for name in names):
-        raise DamagedFrame("a name in a report of reachability is not a string")
+        raise DamagedFrame("a name in a report of gates is not a string")
+    _check_rows("leaving", report.leaving, (str, int), maximum=MAX_START_TIME_MS)
 
 
 def check_wanted_tokens(wanted: dict) -> None:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -36,7 +36,7 @@
 from monsoonlug.exchanges import Peer
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.fleet import FleetView
-from monsoonlug.fleet_messages import FleetServer, HostReachability
+from monsoonlug.fleet_messages import FleetServer, GateReport
 from monsoonlug.gate import Outcome
 from monsoonlug.ids import (
     FailureDomain,
@@ -171,6 +171,7 @@
 
     def __init__(self):
         self._times: dict[ServerId, float] = {}
+        self._announced: dict[ServerId, tuple[int, float]] = {}
 
     def update(self, now: float, view: FleetView) -> None:
         """Updates the times for a changed view."""
@@ -182,10 +183,27 @@
             known = self._times.get(record.server, math.inf)
             times[record.server] = min(known, now + grace)
         self._times = times
+        for server, (born, _) in list(self._announced.items()):
+            record = view.servers.get(server)
+            if record is None or record.born != born:
+                del self._announced[server]
+
+    def record_leaving(self, now: float, server: ServerId, born: int) -> None:
+        """Closes a server whose responses say that it shuts down.
+
+        Args:
+            now: Seconds of a monotonic clock.
+            server: The server.
+            born: Start time of its process, in Unix milliseconds.
+        """
+        known = self._announced.get(server)
+        if known is None or known[0] != born:
+            self._announced[server] = (born, now + LEAVING_GRACE)
 
     def find(self, server: ServerId) -> float:
         """Returns the time after which a server gets no requests, or infinity."""
-        return self._times.get(server, math.inf)
+        _, announced = self._announced.get(server, (0, math.inf))
+        return min(self._times.get(server, math.inf), announced)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -289,7 +307,7 @@
             del self._backends[server]
             if self._server_states.pop(server, None) is not None:
                 for queue in self._queues.values():
-                    queue.set_rest(self._clock(), server, -math.inf)
+                    queue.set_rest(server, -math.inf)
             self._request_limits.remove(server)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
@@ -333,6 +351,12 @@
             rows.append([report.server, report.limit, round(report.age, 3)])
         return rows
 
+    def record_leaving(self, server: ServerId, born: int) -> None:
+        """Stops sending to a server that shuts down, after a grace period."""
+        self._closing_times.record_leaving(self._clock(), server, born)
+        for queue in self._queues.values():
+            queue.close_server(server, self._closing_times.find(server))
+
     def list_server_notices(self) -> list[list]:
         """Returns what servers say of themselves as rows of `FleetHeartbeat`."""
         now = self._clock()
@@ -383,7 +407,7 @@
         """Reports the reachability of servers to a peer from now on."""
         self._peers.add(peer)
         report = self._build_report()
-        if report.isolated_pools or report.unreachable:
+        if report.isolated_pools or report.unreachable or report.leaving:
             _send_to_peer(peer, report)
 
     def receive(self, peer: Peer, message: object) -> None:
@@ -492,7 +516,7 @@
             )
             queue.close_server(record.server, self._closing_times.find(record.server))
             rest, _ = self._server_states.get(record.server, (-math.inf, False))
-            queue.set_rest(now, record.server, rest)
+            queue.set_rest(record.server, rest)
             cold = self._cold_until.get(record.server, now) - now
             if cold > 0:
                 queue.set_cold(now, record.server, cold)
@@ -636,12 +660,20 @@
         for peer in list(self._peers):
             _send_to_peer(peer, report)
 
-    def _build_report(self) -> HostReachability:
-        return HostReachability(
+    def _build_report(self) -> GateReport:
+        return GateReport(
             isolated_pools=self._reachability.isolated_pools,
             unreachable=self._reachability.unreachable,
+            leaving=self._list_leaving(),
         )
 
+    def _list_leaving(self) -> list[list]:
+        rows = []
+        for server, (record, backend) in self._backends.items():
+            if backend.is_leaving:
+                rows.append([server, record.born])
+        return rows
+
     def _give_up_requests(self, server: ServerId) -> None:
         """Cancels requests without a response that another gate may send again."""
         existing = self._backends.get(server)
@@ -689,12 +721,14 @@
         self._server_states[server] = state
         now = self._clock()
         for queue in self._queues.values():
-            queue.set_rest(now, server, backend.resting_until)
+            queue.set_rest(server, backend.resting_until)
         rest = backend.resting_until - now
         if rest > 0:
             logger.info("Server {} asks for {:.1f} s of rest.", server, rest)
         if backend.is_leaving:
             logger.info("Server {} says that it is shutting down.", server)
+            self.record_leaving(server, self._backends[server][0].born)
+            self._schedule_report()
         self._on_notice()
 
     def _get_backend(self, server: ServerId) -> BackendProtocol:
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -88,6 +88,7 @@
         base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
         deferrals: Heartbeats at which a release waited for a timely target.
         held: Start, end and epoch of the ranges that it holds.
+        is_leaving: Whether its responses say that it shuts down.
         resting_until: Time until which it wants no requests.
         avoided_until: Time until which it gets no keys.
         rest_count: Number of its rests one after the other.
@@ -104,6 +105,7 @@
     base_latency: float = 0.0
     deferrals: int = 0
     held: frozenset[tuple[int, int, int]] = frozenset()
+    is_leaving: bool = False
     resting_until: float = -math.inf
     avoided_until: float = -math.inf
     rest_count: int = 0
@@ -360,12 +362,14 @@
     def record_notice(self, now: float, notice: ServerNotice) -> None:
         """Records what a server said of itself in a response."""
         process = self._processes.get(notice.server)
-        if process is None or process.born != notice.born:
-            return
         record = self._view.servers.get(notice.server)
-        if notice.rest > 0 and record is not None:
+        if process is None or process.born != notice.born or record is None:
+            return
+        if notice.rest > 0:
             process.record_rest(now, notice.rest)
             self._get_plan(record.pool).candidates_at = -math.inf
+        if notice.is_leaving:
+            process.is_leaving = True
 
     # Periodic decisions.
 
@@ -381,6 +385,7 @@
             commands += self._assign_unowned(now, pool, table, plan, candidates)
             plan.planned_moves = self._plan_moves(pool, table, plan, candidates)
         commands += self._remove_silent_servers(now)
+        commands += self._drain_leaving_servers()
         for server, limit, senders in self.limits.take_changes(now):
             notice = ServerLimited(server=server, limit=limit, senders=senders)
             self._notices.append(notice)
@@ -629,6 +634,15 @@
             if now - process.last_heartbeat_at > REMOVAL_TIMEOUT:
                 yield RemoveServer(server=server, born=process.born)
 
+    def _drain_leaving_servers(self) -> Iterator[FleetCommand]:
+        """Takes servers out of service that tell only their callers that they leave."""
+        for server, process in self._processes.items():
+            record = self._view.servers.get(server)
+            if record is None or record.born != process.born:
+                continue
+            if process.is_leaving and not record.draining:
+                yield PutServer(record=messages.encode(replace(record, draining=True)))
+
     # Releases.
 
     def _plan_moves(
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -315,6 +315,7 @@
         state = self._servers.get(server)
         if state is not None:
             state.closed_at = at
+            self._last_sweep_at = -math.inf
 
     def set_cold(self, now: float, server: ServerId, seconds: float) -> None:
         """Treats a server as cold for the given seconds from now on."""
@@ -528,13 +529,12 @@
         if state is not None:
             self._mark_unreachable(now, state)
 
-    def set_rest(self, now: float, server: ServerId, until: float) -> None:
+    def set_rest(self, server: ServerId, until: float) -> None:
         """Sends nothing to a server until a time, as it asked for."""
         state = self._servers.get(server)
         if state is None or state.resting_until == until:
             return
         state.resting_until = until
-        self._refuse_in_outage(now)
         self._last_sweep_at = -math.inf
 
     def mark_reachable(self, now: float, server: ServerId) -> None:
@@ -563,7 +563,10 @@
 
     def _find_outage(self, now: float) -> Refusal | None:
         """Returns why no server of the gate is tried now, or None if one is."""
-        first = min(self._servers.values(), key=lambda item: item.paused_until)
+        open_servers = [item for item in self._servers.values() if now < item.closed_at]
+        if not open_servers:
+            return Refusal(error=ServerDraining)
+        first = min(open_servers, key=lambda item: item.paused_until)
         if first.paused_until <= now:
             return None
         is_unreachable = first.unreachable_until > now
@@ -645,6 +648,8 @@
         share = len(self._servers)
         best = (math.inf, 0.0)
         for server in self._servers.values():
+            if now >= server.closed_at:
+                continue
             latency_factor = self._service_model.get_latency_factor(server.name)
             wait = self._estimate_wait(
                 now, server, ahead * latency_factor / share, count / share
@@ -703,6 +708,8 @@
         for other in self._servers.values():
             if other in ready or other.is_cold(now) or now < other.paused_until:
                 continue
+            if now >= other.closed_at:
+                continue
             wait = self._estimate_wait(now, other, 0.0, 0.0)
             service_time = self._service_model.estimate(
                 "", other.name
@@ -716,6 +723,7 @@
         return server.is_cold(now), latency_factor * server.get_slowdown(now)
 
     def _sweep(self, now: float) -> None:
+        self._refuse_in_outage(now)
         for request, server in list(self._waiting.values()):
             if server is not None and now >= self._servers[server].closed_at:
                 self._refuse(request, Refusal(error=ServerDraining))
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -461,3 +461,15 @@
     leader.now += 1.0
     leader.send_heartbeat("s2")
     assert len(leader.registrar._list_usable(leader.now, "desk")) == 2
+
+
+def test_server_that_tells_only_its_callers_that_it_leaves_is_drained(leader):
+    """Guards against keys that stay with a server whose heartbeats never say so."""
+    send_notice(leader, "s1", is_leaving=True)
+    leader.run_timer()
+    assert leader.fleet.state.view.servers["s1"].draining
+    leader.send_heartbeat("s1")
+    assert leader.fleet.state.view.servers["s1"].draining
+    send_notice(leader, "s2", born=0, is_leaving=True)
+    leader.run_timer()
+    assert not leader.fleet.state.view.servers["s2"].draining
--- a/tests/test_server_rest.py
+++ b/tests/test_server_rest.py
@@ -1,10 +1,14 @@
 """Tests of backend servers that ask a host for rest, or say that they shut down."""
 
 import asyncio
+import math
 import time
 
 import pytest
 
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import FleetServer
+from monsoonlug.gatehost import LEAVING_GRACE, ClosingTimes
 from tests.platform_fleet import PlatformFleet
 from tests.platform_load import Load, compute_share
 
@@ -71,3 +75,31 @@
         assert late == []
         counts = load.count(left_at + SETTLING_TIME, ended_at)
         assert compute_share(counts, counts) >= MIN_SERVED
+
+
+def build_view(born):
+    record = FleetServer(
+        server="s1",
+        born=born,
+        pool="desk",
+        address="10.0.0.1:80",
+        failure_domain="east",
+        slots=2,
+        draining=False,
+    )
+    view = FleetView()
+    view.servers["s1"] = record
+    return view
+
+
+def test_host_that_is_cut_off_from_control_closes_a_server_by_its_word():
+    """Guards against requests to a server whose shutdown is not in the view."""
+    times = ClosingTimes()
+    times.update(0.0, build_view(1))
+    assert times.find("s1") == math.inf
+    times.record_leaving(1.0, "s1", 1)
+    times.record_leaving(2.0, "s1", 1)
+    times.update(2.5, build_view(1))
+    assert times.find("s1") == 1.0 + LEAVING_GRACE < 1.0 + DRAIN_SECONDS
+    times.update(3.0, build_view(2))
+    assert times.find("s1") == math.inf
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -225,7 +225,7 @@
     waiting, _ = gate.add(server="s1")
     gate.add(server="s1")
     gate.add(server="s1")
-    gate.queue.set_rest(0.0, "s1", 3.0)
+    gate.queue.set_rest("s1", 3.0)
     gate.process_queue()
     assert [error.error for _, error in gate.refused] == [ServerResting]
     _, refusal = gate.add(server="s1", deadline=1.5)
@@ -241,7 +241,7 @@
 def test_request_waits_for_the_end_of_a_short_rest():
     """Guards against refusals of what the server could still run in time."""
     gate = SimulatedGate("s1")
-    gate.queue.set_rest(0.0, "s1", 0.03)
+    gate.queue.set_rest("s1", 0.03)
     _, refusal = gate.add(server="s1")
     assert refusal is None
     assert gate.started == []
@@ -252,7 +252,7 @@
 def test_shared_requests_pass_by_a_resting_server():
     """Guards against requests that wait for one server while another is free."""
     gate = SimulatedGate("s1", "s2")
-    gate.queue.set_rest(0.0, "s1", 3.0)
+    gate.queue.set_rest("s1", 3.0)
     for _ in range(5):
         gate.add()
         gate.advance(0.2)
@@ -260,13 +260,27 @@
     gate.add()
     gate.add()
     gate.add()
-    gate.queue.set_rest(gate.now, "s2", gate.now + 1.0)
+    gate.queue.set_rest("s2", gate.now + 1.0)
     gate.process_queue()
     _, refusal = gate.add()
     assert refusal.error is ServerResting
     assert [item.error for _, item in gate.refused] == 2 * [ServerResting]
 
 
+def test_shared_requests_pass_by_a_closed_server():
+    """Guards against requests that wait for a server that shuts down."""
+    gate = SimulatedGate("s1", "s2")
+    gate.queue.close_server("s1", 0.5)
+    gate.advance(0.5)
+    for _ in range(5):
+        gate.add()
+        gate.advance(0.2)
+    assert {server for _, _, server in gate.started} == {"s2"}
+    gate.queue.close_server("s2", gate.now)
+    _, refusal = gate.add()
+    assert refusal.error is ServerDraining
+
+
 def test_nothing_is_sent_to_a_closed_server():
     """Guards against new requests to a server whose leave was acknowledged."""
     gate = SimulatedGate("a")
