--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -273,6 +273,11 @@
             "Servers at gates that limit their requests.",
             lambda: self._gate_host.limited_servers,
         )
+        add_gauge(
+            "resting_servers",
+            "Servers at gates that asked for rest.",
+            lambda: self._gate_host.resting_servers,
+        )
         add_gauge(
             "isolated_pools",
             "Pools of which this host reaches no server.",
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -289,6 +289,12 @@
         """Number of servers that this host cannot connect to."""
         return len(self._reachability.unreachable)
 
+    @property
+    def resting_servers(self) -> int:
+        """Number of servers that want no requests now."""
+        now = self._clock()
+        return sum(until > now for until, _ in self._server_states.values())
+
     @property
     def queued(self) -> int:
         """Number of waiting requests at all gates."""
