Give the test's client of a server the state that gates read

Cause: the stand-in client of test_probes has no resting_until and is_leaving, which the gate reads after a probe since it acts on both. Its checks are unchanged.

Result: test_probes failed in the whole run with AttributeError and passes.

--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,5 +1,6 @@
 """Tests of probes, by which hosts learn the speed of idle servers."""
 
+import math
 import asyncio
 from types import SimpleNamespace
 
@@ -39,6 +40,8 @@
     """Reports a slowdown, or fails like a server that is out of reach."""
 
     slowdown = 1.0
+    resting_until = -math.inf
+    is_leaving = False
 
     def __init__(self, reported):
         self.reported = reported
