--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,7 +1,7 @@
 """Tests of probes, by which hosts learn the speed of idle servers."""
 
-import math
 import asyncio
+import math
 from types import SimpleNamespace
 
 import pytest
