Add a fault soak of the announced fleet

Cause: the soak played the first mode only, so partitions of entries, resting and leaving servers had no seeded runs beside killed and paused processes.

The stand-in servers record who sent each request, and look for another control replica when one is lost. An entry logs a response that it cuts off.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 soak: install
 	PYTHONPATH=src:. $(PY) -m soak --first 1 --last 10
+	PYTHONPATH=src:. $(PY) -m soak --first 1 --last 10 --announced
 
 format: install
 	$(VENV)/bin/ruff format src tests standins bench soak
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 from cyclopts import App
 
+from soak.announced import run_announced_seed
 from soak.run import Result, run_seed
 
 BAR_WIDTH = 40  # characters
@@ -13,7 +14,14 @@
 
 
 @app.default
-def run(*, first: int = 1, last: int = 1, seconds: float = 20.0, table: bool = True):
+def run(
+    *,
+    first: int = 1,
+    last: int = 1,
+    seconds: float = 20.0,
+    table: bool = True,
+    announced: bool = False,
+):
     """Runs a range of seeds and exits with 1 if an invariant was violated.
 
     Args:
@@ -21,11 +29,13 @@
         last: Last seed.
         seconds: Duration of the faults of one seed.
         table: Whether to print the callers' outcomes in each second.
+        announced: Whether to run the daemons of an announced fleet.
     """
     failed = []
     for seed in range(first, last + 1):
-        result = run_seed(seed, seconds)
-        if table:
+        run_one = run_announced_seed if announced else run_seed
+        result = run_one(seed, seconds)
+        if table and result.samples:
             print_table(result)
         verdict = "; ".join(result.violations) or "all invariants held"
         logs = f" (logs kept in {result.folder})" if result.folder else ""
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -210,6 +210,9 @@
         except AnswerCutOff:
             # Aborting the connection tells the caller that the response is incomplete.
             outcome = "cut-off"
+            self._bind_logger(request_id, started, context, delivery).info(
+                "Response cut off."
+            )
             request.transport.abort()
             raise asyncio.CancelledError from None
         except MonsoonlugError as error:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 
@@ -112,6 +113,25 @@
         return lines
 
 
+@dataclass(frozen=True, kw_only=True)
+class Contact:
+    """A request at a server.
+
+    Attributes:
+        born: Start time of the server's process.
+        peer: IP address of the sender.
+        rest: Seconds of rest that the server asked for instead of running the request.
+        is_leaving: Whether the response says that the server shuts down.
+    """
+
+    at: float
+    born: int
+    request_id: str
+    peer: str
+    rest: float
+    is_leaving: bool
+
+
 class StandInServer:
     """A backend server that registers itself and answers with the request's id.
 
@@ -120,19 +140,22 @@
 
     Attributes:
         arrivals: Time, path and body of each request.
+        contacts: Each request as a `Contact`.
         rest: Seconds of rest that it asks for with each request that it turns away; 0
             while it accepts requests.
         crashes: Times of the crashes.
     """
 
     def __init__(
-        self, *, ip, zone, control, service_time=0.01, downtime=1.0, keyed=False
+        self, *, ip, zone, controls, service_time=0.01, downtime=1.0, keyed=False
     ):
         self.keyed = keyed
         self.held = []
         self.address = f"{ip}:{SERVER_PORT}"
         self.zone = zone
-        self.control = control
+        self.controls = itertools.cycle(controls)
+        self.control = next(self.controls)
+        self.contacts = []
         self.service_time = service_time
         self.downtime = downtime
         self.deadly = set()
@@ -168,7 +191,8 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def _crash(self):
+    async def crash(self):
+        """Ends the process and starts it again at the same address."""
         self.crashes.append(time.monotonic())
         self.born = 0
         await self._close()
@@ -195,12 +219,17 @@
                 }
                 url = f"http://{self.control}:{CONTROL_PORT}"
                 path = f"/monsoonlug/Instances.Heartbeat/{self.name}"
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                try:
                     async with session.post(
                         url + path, json=body, timeout=1.0
                     ) as response:
-                        self._freed = []
-                        self._hold(await response.json())
+                        if response.status == 200:
+                            self._freed = []
+                            self._hold(await response.json())
+                        else:
+                            self.control = next(self.controls)
+                except (aiohttp.ClientError, TimeoutError):
+                    self.control = next(self.controls)
                 await asyncio.sleep(0.1 if self._freed else HEARTBEAT_INTERVAL)
 
     def _hold(self, answer):
@@ -251,6 +280,15 @@
             )
             return True
         self.arrivals.append((time.monotonic(), path, body))
+        contact = Contact(
+            at=time.monotonic(),
+            born=self.born,
+            request_id=request_id,
+            peer=writer.get_extra_info("peername")[0],
+            rest=self.rest,
+            is_leaving="Server-Leaving" in self.extra_headers,
+        )
+        self.contacts.append(contact)
         if self.rest:
             lines = [
                 "HTTP/1.1 503 Resting",
@@ -262,7 +300,7 @@
             writer.write("\r\n".join([*lines, "", ""]).encode())
             return True
         if path in self.deadly or body in self.deadly:
-            self._spawn(self._crash())
+            self._spawn(self.crash())
             return False
         await asyncio.sleep(self.service_time)
         lines = [
@@ -298,10 +336,17 @@
 
 
 class CutProxy:
-    """Forwards the connections of one entry to one server, until it is cut."""
+    """Forwards the connections of one entry to one server, until it is cut.
 
-    def __init__(self, *, address, target):
+    Args:
+        address: Address on which it listens.
+        target: Address of the server.
+        source: IP address of the entry, from which it connects to the server.
+    """
+
+    def __init__(self, *, address, target, source):
         self.address = address
+        self._source = source
         self._target = target
         self._cut = None
         self._flowing = asyncio.Event()
@@ -363,7 +408,9 @@
     async def _serve(self, reader, writer):
         host, port = self._target.split(":")
         try:
-            remote_reader, remote_writer = await asyncio.open_connection(host, port)
+            remote_reader, remote_writer = await asyncio.open_connection(
+                host, port, local_addr=(self._source, 0)
+            )
         except OSError:
             writer.transport.abort()
             return
@@ -388,10 +435,11 @@
 
 
 class PlatformFleet:
-    """One control replica, entries and stand-in servers of one pool without keys.
+    """Control replicas, entries and stand-in servers of one pool.
 
     Args:
         folder: Folder for settings, data and logs.
+        controls: Number of control replicas.
         entries: Failure domain of each entry.
         servers: Failure domain of each server.
         proxied: Whether each entry reaches each server through a `CutProxy`.
@@ -403,6 +451,7 @@
         self,
         folder,
         *,
+        controls=1,
         entries=("east",) * 2,
         servers=("east",) * 4,
         proxied=False,
@@ -411,15 +460,18 @@
     ):
         self.keyed = keyed
         network = self._allocate_network()
-        control = f"{network}.1"
-        self.control = Node(
-            folder=folder,
-            name="control-1",
-            role="control",
-            ip=control,
-            zone="east",
-            seeds=[control],
-        )
+        seeds = [f"{network}.{1 + number}" for number in range(controls)]
+        self.controls = []
+        for number, seed in enumerate(seeds):
+            control = Node(
+                folder=folder,
+                name=f"control-{number + 1}",
+                role="control",
+                ip=seed,
+                zone="east",
+                seeds=seeds,
+            )
+            self.controls.append(control)
         self.entries = []
         for number, zone in enumerate(entries):
             node = Node(
@@ -428,7 +480,7 @@
                 role="entry",
                 ip=f"{network}.{10 + number}",
                 zone=zone,
-                seeds=[control],
+                seeds=seeds,
             )
             self.entries.append(node)
         self.servers = []
@@ -436,7 +488,7 @@
             server = StandInServer(
                 ip=f"{network}.{100 + number}",
                 zone=zone,
-                control=control,
+                controls=seeds,
                 keyed=keyed,
                 **server_options,
             )
@@ -454,7 +506,7 @@
         network = self._allocate_network()
         for number, server in enumerate(self.servers):
             address = f"{network}.{100 + number}:{SERVER_PORT}"
-            proxy = CutProxy(address=address, target=server.address)
+            proxy = CutProxy(address=address, target=server.address, source=entry.ip)
             entry.addresses[server.address] = address
             self.proxies[entry.name].append(proxy)
 
@@ -471,7 +523,7 @@
         for proxies in self.proxies.values():
             for proxy in proxies:
                 await proxy.start()
-        for node in (self.control, *self.entries):
+        for node in (*self.controls, *self.entries):
             node.start()
         self.session = aiohttp.ClientSession()
         for server in self.servers:
@@ -485,7 +537,7 @@
         await self.session.close()
         for server in self.servers:
             await server.stop()
-        nodes = (*self.entries, self.control)
+        nodes = (*self.entries, *self.controls)
         await asyncio.gather(*(asyncio.to_thread(node.stop) for node in nodes))
         for proxies in self.proxies.values():
             for proxy in proxies:
@@ -555,9 +607,11 @@
             metadata = version | ({"name": name} if name else {})
             resources.append({"resourceType": kind, "metadata": metadata, "spec": spec})
         patch = {"upsert": {"resources": resources}, "remove": {}}
-        url = f"http://{self.control.ip}:{CONTROL_PORT}/monsoonlug/Config.Patch"
+        controls = itertools.cycle(self.controls)
         until = time.monotonic() + START_TIMEOUT
         while time.monotonic() < until:
+            ip = next(controls).ip
+            url = f"http://{ip}:{CONTROL_PORT}/monsoonlug/Config.Patch"
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with self.session.post(url, json=patch, timeout=1.0) as response:
                     if response.status == 200:
--- a/tests/platform_load.py
+++ b/tests/platform_load.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 from collections import Counter
+from dataclasses import dataclass
 from random import Random
 
 from monsoonlug.ids import SLICE_COUNT
@@ -12,6 +13,26 @@
 RATE = 200  # requests per second to all entries
 
 
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """How a request ended.
+
+    Attributes:
+        at: When it was sent.
+        entry: Name of the entry that it was sent to.
+        status: HTTP status, or None if the connection was lost or no response came.
+        is_unsafe: Whether it must not run twice.
+        seconds: Time until it ended.
+    """
+
+    at: float
+    entry: str
+    status: int | None
+    request_id: str
+    is_unsafe: bool
+    seconds: float
+
+
 class Load:
     """Callers that keep their connections, in turn at each entry."""
 
@@ -41,14 +62,23 @@
             body=b"x" if is_unsafe else None,
             key=self._random.randrange(SLICE_COUNT),
         )
-        self.outcomes.append((at, entry.name, status))
+        self.outcomes.append(
+            Outcome(
+                at=at,
+                entry=entry.name,
+                status=status,
+                request_id=f"id-{number}",
+                is_unsafe=is_unsafe,
+                seconds=time.monotonic() - at,
+            )
+        )
 
     def count(self, since, until):
         """Returns by entry the number of requests by status."""
         counts = {}
-        for at, name, status in self.outcomes:
-            if since <= at < until:
-                counts.setdefault(name, Counter())[status] += 1
+        for outcome in self.outcomes:
+            if since <= outcome.at < until:
+                counts.setdefault(outcome.entry, Counter())[outcome.status] += 1
         return counts
 
 
