Report an entry as unready while no entry reaches a backend server

Cause: an entry that is cut off from all servers, and knows of no other entry that reaches any, stayed ready and refused every request.

Change: readiness asks whether this or another reachable entry can serve a pool.

Result: test_entry_is_unready_only_while_no_host_reaches_servers; tests of cut entries pass.

--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -272,6 +272,16 @@
         penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
         return wait + penalty + TIE_RANGE * self._random.random()
 
+    def can_serve(self) -> bool:
+        """Returns whether a host that accepts requests reaches servers of any pool."""
+        pools = {gate.pool for gate in self._gate_ids.values()}
+        if not pools or not self._hosts:
+            return True
+        for host in self._hosts:
+            if any(self._is_available(host.host, pool) for pool in pools):
+                return True
+        return False
+
     def has_alternative(self, target: Target, tried: Collection[ServerId]) -> bool:
         """Returns whether another host, or another gate, may run a failed request."""
         gate = self._gate_ids.get(target.server)
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -173,7 +173,9 @@
         """Returns whether load balancers should send new connections to this host."""
         if self.is_leaving or self._index.is_empty:
             return False
-        return self._subscription.get_view_age() < self._max_view_age
+        if self._subscription.get_view_age() >= self._max_view_age:
+            return False
+        return self._delivery_context.finder.can_serve()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request and returns its response."""
--- a/src/monsoonlug/targets.py
+++ b/src/monsoonlug/targets.py
@@ -134,6 +134,10 @@
     def record_failure(self, target: Target, error: type[MonsoonlugError]) -> None:
         """Records the error of a failed attempt; does nothing by default."""
 
+    def can_serve(self) -> bool:
+        """Returns whether any request could reach a backend server."""
+        return True
+
     def has_alternative(self, target: Target, tried: Collection[ServerId]) -> bool:
         """Returns whether another host, or another server, may run a failed request.
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -227,6 +227,17 @@
     assert finder.choose() == first
 
 
+def test_entry_is_unready_only_while_no_host_reaches_servers():
+    """Guards against new callers at an entry that must refuse all of them."""
+    finder = Finder()
+    for host in finder.hosts:
+        assert finder.finder.can_serve()
+        finder.isolate(host.host)
+    assert not finder.finder.can_serve()
+    finder.isolate("n1", pools=[])
+    assert finder.finder.can_serve()
+
+
 def test_server_that_some_host_cannot_reach_is_served_by_another():
     """Guards against the same host being tried each second while it is cut."""
     finder = Finder()
