Count a lost token request as answered by a later heartbeat

What callers would see: a workspace that runs more than its limit (QUOTA). One lost token request kept a host disconnected, so it refilled its own bucket beside the tokens that the leader granted, until its next urgent grant.

Cause: only an urgent grant cleared the time of the unanswered request, although a response to a later heartbeat on the same stream shows that it will not be answered.

Change: a response to a heartbeat that was sent after the request clears it.

Result: test_lost_token_request_does_not_make_a_host_refill_itself fails without the change and passes; tests of rates, subscription and publisher pass.

--- a/src/monsoonlug/rates.py
+++ b/src/monsoonlug/rates.py
@@ -379,9 +379,18 @@
             retry_after = retry_delays.get(workspace, 0.0)
             bucket.empty_until = now + retry_after if retry_after else 0.0
 
-    def record_response(self, now: float) -> None:
-        """Records a response of the leader, with or without tokens."""
+    def record_response(self, now: float, sent_at: float | None) -> None:
+        """Records a response of the leader to a heartbeat.
+
+        A token request that was sent before the heartbeat was answered or is lost.
+
+        Args:
+            now: Seconds of the entry's clock.
+            sent_at: When the heartbeat was sent, or None if that is not known.
+        """
         self._last_response_at = now
+        if sent_at is not None and sent_at >= self._unanswered_since:
+            self._unanswered_since = math.inf
 
     def _refill(self, now: float, bucket: _LocalBucket) -> None:
         elapsed = max(0.0, now - max(bucket.refilled_at, self._last_response_at))
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -356,7 +356,8 @@
         self._leader = address
         self._term = response.term
         self._last_response_at = now
-        self.rate_limiter.record_response(now)
+        sent_at = self._sent_at.pop(response.sequence, None)
+        self.rate_limiter.record_response(now, sent_at)
         if response.tokens:
             self.rate_limiter.apply_grant(
                 now,
@@ -366,7 +367,6 @@
                 urgent=False,
             )
             self._on_tokens()
-        sent_at = self._sent_at.pop(response.sequence, None)
         if sent_at is not None and response.revision <= self.view.revision:
             self.confirmed_at = max(self.confirmed_at, sent_at)
         if tuple(response.members) != self._members:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -89,7 +89,7 @@
         self.answers = [item for item in self.answers if item[0] > self.now]
         for _, host, wanted, urgent in due:
             limiter = self.limiters[host]
-            limiter.record_response(self.now)
+            limiter.record_response(self.now, self.now - self.delay)
             self.leader.record_heartbeat(self.now, f"h{host}")
             for workspace, (tokens, prefetch, share) in wanted.items():
                 result = self.leader.grant(
@@ -242,3 +242,18 @@
     refused = simulation.refused
     simulation.run(1.0, 30)
     assert simulation.refused - refused <= 0.2 * 30
+
+
+def test_lost_token_request_does_not_make_a_host_refill_itself():
+    """Guards against tokens of a host's own on top of those that the leader grants."""
+    limiter = LocalRateLimiter(now=0.0, random=Random(1))
+    limiter.configure(0.0, {"w": Limit(rate=10.0, burst=10.0)})
+    limiter.change_waiting("w", 1)
+    assert limiter.build_urgent_request(1.0)
+    limiter.change_waiting("w", -1)
+    assert limiter.is_disconnected(1.2)
+    # The response to a heartbeat that was sent before the request proves nothing.
+    limiter.record_response(1.25, sent_at=0.9)
+    assert limiter.is_disconnected(1.3)
+    limiter.record_response(1.7, sent_at=1.3)
+    assert not limiter.is_disconnected(1.8)
