Repeat all headers of a stored response

What callers see: the repeat of a request with an Idempotency-Key lacks all but the last of several headers with one name, such as Set-Cookie.

Cause: the stored headers were set one by one, each replacing the one before.

Change: they are added, as in the first response.

Result: test_repeated_response_has_all_headers_of_the_first; with the assignment in place of add, it finds one Set-Cookie. Tests of records and idempotency pass.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -197,9 +197,7 @@
         )
 
     async def _send_stored(self, stored: StoredAnswer) -> web.StreamResponse:
-        response = web.Response(status=stored.status, body=stored.body)
-        for name, value in stored.headers:
-            response.headers[name] = value
+        response = build_stored_response(stored)
         response.headers["X-Request-Id"] = self._request_id
         response.headers["X-Repeated"] = "1"
         self._on_prepare(response)
@@ -541,6 +539,14 @@
         )
 
 
+def build_stored_response(stored: StoredAnswer) -> web.Response:
+    """Returns the response that repeats a stored one."""
+    response = web.Response(status=stored.status, body=stored.body)
+    for name, value in stored.headers:
+        response.headers.add(name, value)
+    return response
+
+
 def _classify_failure(frame: RequestFailed) -> Outcome:
     if frame.ran == Ran.NOT_RUN.value:
         return Outcome.SHED
--- a/tests/test_recordclient.py
+++ b/tests/test_recordclient.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from monsoonlug.delivery import build_stored_response
 from monsoonlug.deltas import ShardRecord
 from monsoonlug.exceptions import InProgress, RecordsUnavailable
 from monsoonlug.ids import Ran
@@ -85,3 +86,13 @@
     last = primary.messages[-1]
     assert isinstance(last, RecordFinish)
     assert last.ran == Ran.NOT_RUN.value
+
+
+def test_repeated_response_has_all_headers_of_the_first():
+    """Guards against a repeat that lacks one of two headers with the same name."""
+    headers = [["Set-Cookie", "a=1"], ["Set-Cookie", "b=2"], ["Content-Type", "x/y"]]
+    stored = StoredAnswer(status=201, headers=headers, body=b"z")
+    response = build_stored_response(stored)
+    assert response.status == 201
+    assert response.headers.getall("Set-Cookie") == ["a=1", "b=2"]
+    assert response.headers.getall("Content-Type") == ["x/y"]
