Fail waits for a read-index round at once if none can begin

What callers see: an operator's call, or a heartbeat of a server, waits 0.6 s for an answer that cannot come, and is then sent to another replica.

Cause: if the group refused a round, its callbacks were dropped, and the waits among them ended by their time-out only, unless a change of the role was reported as well.

Change: all waits fail with NotLeader then, as after a change of the role.

--- a/src/monsoonlug/read_index.py
+++ b/src/monsoonlug/read_index.py
@@ -82,8 +82,8 @@
             self._find_group().begin_round(partial(self._register_round, begun))
         except NotLeader:
             # The replica steps down inside the call if its quorum did not respond in
-            # time. The callbacks are dropped; their clients repeat the request.
-            return
+            # time. The clients of the callbacks repeat their requests.
+            self.reset()
 
     def confirm(self, round_id: int) -> None:
         """Runs the callbacks of the rounds up to this one."""
