Count only attempts at servers in the state machine's test of attempts

Cause: the machine asserted that no attempt has a number above MAX_ATTEMPTS. Attempts that a gate refuses put no load on a server and do not count, as test_reroutes asserts; the derandomized search only never tried two lost attempts and then one of these.

Change: the machine counts refusals by gates. It asserts that the other attempts stay within MAX_ATTEMPTS, and now also that reroutes stay within MAX_REROUTES, which is as strict for every attempt that may reach a server. A test plays the sequence.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 
 from monsoonlug.dispatch import (
     MAX_ATTEMPTS,
+    MAX_REROUTES,
     Abort,
     AttemptFailed,
     Attempts,
@@ -63,6 +64,7 @@
         self.pending_attempt = None
         self.in_flight = []
         self.runs = 0
+        self.reroutes = 0
         self.frames = []
         self.forwarded = 0
         self.result = None
@@ -85,7 +87,9 @@
         if isinstance(action, Send):
             self.pending_attempt = action.attempt
         elif isinstance(action, Retry):
-            assert action.attempt <= MAX_ATTEMPTS
+            # Attempts that a gate refused put no load on a server.
+            assert action.attempt - self.reroutes <= MAX_ATTEMPTS
+            assert self.reroutes <= MAX_REROUTES
             assert self.idempotent or not (self.runs or self.in_flight)
         elif isinstance(action, Refuse | Abort):
             self.result = action
@@ -109,6 +113,7 @@
             return
         self.attempts.decide(self.now, Sending(attempt=attempt))
         if outcome == "refused by gate":
+            self.reroutes += 1
             self.fail(attempt, NotGate, Ran.NOT_RUN)
             return
         self.in_flight.append(attempt)
@@ -211,6 +216,19 @@
 )
 
 
+def test_machine_allows_a_reroute_after_two_lost_attempts():
+    """Guards against a bound of the machine that counts reroutes as attempts."""
+    machine = AttemptsMachine()
+    machine.begin(idempotent=False, burst=10.0)
+    machine.send("refused")
+    machine.advance_clock(0.02)
+    machine.send("refused")
+    machine.advance_clock(0.1)
+    machine.send("refused by gate")
+    assert machine.attempts.attempt == MAX_ATTEMPTS + 1
+    machine.teardown()
+
+
 def start(attempts, *, sent=True):
     assert attempts.decide(0.0, Begin()) == Send(attempt=1)
     if sent:
