Give requests ids that are unique over all entries

What callers see: a request without a request id, or with one that another caller uses at the same time, waits until its deadline and ends as outcome-unknown.

Cause: an entry adds only its own count to the caller's id. Two entries that count alike then send one gate two requests with one id; the queue and the table of running requests kept the second only, and the first was never sent.

Change: a random tag of the process stands before the number.

--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -54,6 +55,7 @@
 RETRY_BURST = 3.0  # retries that one host may send in a burst
 DEFAULT_TIMEOUT = 5.0  # seconds, for a request without a deadline header
 MAX_TIMEOUT = 60.0  # seconds
+PROCESS_TAG_BYTES = 4  # that tell requests of this process from those of others
 MAX_LOGGED_AGE = 9999.0  # seconds; JSON cannot represent infinity
 
 logger = get_logger("front")
@@ -142,6 +144,7 @@
             ratio=RETRY_RATIO, burst=RETRY_BURST, available=RETRY_BURST
         )
         self._request_numbers = itertools.count(1)
+        self._process_tag = secrets.token_hex(PROCESS_TAG_BYTES)
         self._index = ItemIndex(items=subscription.view.items, random=random)
         self._tokens_changed = asyncio.Event()
         self._key_counts: dict[tuple[str, int], int] = {}
@@ -383,9 +386,10 @@
     def _build_delivery(
         self, request: web.BaseRequest, context: _RequestContext, caller: CallerHeaders
     ) -> Delivery:
-        # A load balancer may send one request through two hosts at the same time, so
-        # the caller's id alone is not unique.
-        request_id = RequestId(f"{caller.request_id}.{next(self._request_numbers)}")
+        # A load balancer may send one request through two hosts at the same time, and
+        # callers may name no id, so neither the id nor the number is unique.
+        number = next(self._request_numbers)
+        request_id = RequestId(f"{caller.request_id}.{self._process_tag}-{number}")
         attempts = Attempts(
             request_id=request_id,
             idempotent=context.route.idempotent,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,8 +1,10 @@
 """Tests of the platform adapter: documents, headers, settings and its isolation."""
 
 import ast
+import asyncio
 import json
 import re
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -19,12 +21,14 @@
 )
 from monsoonlug.platform.headers import PlatformCallerProtocol
 from monsoonlug.platform.settings import NodeFile
+from tests.platform_fleet import PlatformFleet
 
 SOURCE_FOLDER = Path(__file__).parent.parent / "src" / "monsoonlug"
 WIRE_NAME_PATTERN = re.compile(
     r"X-Monsoonlug|Instances\.|Config\.(Patch|Get)|Evacuations|warmupLeft|apiKeys"
     r"|maxAttempts|trafficSplit|ratePerS|heartbeatUrl|resourceType|pathPrefix"
 )
+
 HEARTBEAT = {
     "service": "desk",
     "address": "10.0.0.9:8080",
@@ -244,3 +248,25 @@
         NodeFile(path).build_entry()
     paths = {problem.path for problem in caught.value.problems}
     assert {"$.zone", "$.nodeName", "$.ip", "$.listen.front"} <= paths
+
+
+async def test_requests_without_ids_of_two_entries_are_told_apart(tmp_path):
+    """Guards against two requests at one gate that have the same id.
+
+    Both entries count their requests from one, and these callers name no id.
+    """
+    async with PlatformFleet(
+        tmp_path, entries=("east", "east"), servers=("east",), service_time=0.05
+    ) as fleet:
+        await asyncio.gather(
+            *(fleet.send(fleet.entries[0], "/warm/", request_id="") for _ in range(2))
+        )
+        tasks = []
+        for _ in range(20):
+            for entry in fleet.entries:
+                task = fleet.send(entry, "/lookup/", request_id="", deadline=5.0)
+                tasks.append(asyncio.create_task(task))
+            await asyncio.sleep(0.04)
+        statuses = Counter(await asyncio.gather(*tasks))
+        assert statuses.keys() <= {200, 503}, statuses
+        assert statuses[200] > 30
