--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,9 @@
-"""One call that sets and drops the same name makes the whole config unreadable."""
+"""A service that is dropped and put back gets new owners while the old ones hold."""
 
 import asyncio
-import json
+import random
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -18,62 +19,116 @@
 )
 
 SERVICE = "catalogo"
-CONTACT = 3.0  # seconds for which the operator asks for the config at least
-NEW = 9  # version of the route that is set
-OLD = 7  # version of the drop
+SERVERS = 16
+RATE = 100  # requests per second
+LOAD_SECONDS = 8.0  # of traffic before the change
+DROPPED_SECONDS = 1.0  # from the drop to the next version
+MIN_OVERLAP = 0.5  # seconds; the rule's bound
+SPEEDS = (0.6, 1.0, 1.4)  # of the servers, as in the site file
+
+
+class UnevenServer(Server):
+    """A server with a speed of its own, on a machine that it shares."""
+
+    slowdown = 100
+
+    async def start(self):
+        """Starts the server and the changes of its speed."""
+        self.usual_work = self.work * SPEEDS[len(self.fleet.servers) % len(SPEEDS)]
+        await super().start()
+        self.spawn(self._vary())
+
+    async def _vary(self):
+        while True:
+            self.slowdown = 300 if random.random() < 0.2 else 100
+            self.work = self.usual_work * self.slowdown / 100
+            await asyncio.sleep(0.4)
 
 
 async def play(record, has_trouble):
     """Plays the case and returns what broke the rule."""
-    async with Fleet(record, controls=5, entries=2) as fleet:
-        first = [
-            build_route("r-hold", 1, "/holds/", SERVICE),
-            build_service(SERVICE, 1),
-            build_tenant(1),
-            build_limits(1),
-        ]
-        await fleet.patch(first)
-        servers = [Server(fleet, SERVICE, zone, keyed=False) for zone in ZONES]
+    async with Fleet(record, controls=5, entries=4) as fleet:
+        await fleet.patch(
+            [
+                build_route("r-hold", 1, "/holds/", SERVICE),
+                build_service(SERVICE, 1, keyed=True, warmup="0s"),
+                build_tenant(1),
+                build_limits(1),
+            ]
+        )
+        servers = []
+        for number in range(SERVERS):
+            zone = ZONES[number % len(ZONES)]
+            servers.append(UnevenServer(fleet, SERVICE, zone, keyed=True, work=0.06))
         await fleet.add_servers(servers)
         await fleet.wait_ready()
-        wanted = build_route("r-swatch", NEW, "/swatches/", SERVICE, "safe")
-        dropped = {
-            "routes": [{"name": "r-swatch", "version": f"{OLD:08x}"}],
-        }
+        await fleet.wait_until(lambda: fleet.owners.covers_all(SERVICE), "no owners")
+        load = asyncio.create_task(send_load(fleet))
+        await asyncio.sleep(LOAD_SECONDS)
         if has_trouble:
-            answers = [await fleet.patch([wanted], dropped)]
-        else:
-            answers = [await fleet.patch([], dropped), await fleet.patch([wanted])]
-        if any(answer.status != 200 for answer in answers):
-            raise AssertionError("a valid change was refused")
-        await asyncio.sleep(2.5)
-        _, answer = await fleet.send(fleet.entries[0], "/swatches/1")
-        record.write(f"the new route answers {answer and answer.status}")
-        return await read_back(record, fleet, [*first, wanted])
-
-
-async def read_back(record, fleet, wanted):
-    """Asks for the config for a while; returns why it never was what is in force."""
-    names = {(i["resourceType"], i["metadata"].get("name", "")): i for i in wanted}
-    problems = {}
-    for _ in range(round(2 * CONTACT)):
-        answer = await fleet.order("GET", "/monsoonlug/Config.Get")
-        await asyncio.sleep(0.5)
-        try:
-            document = json.loads(answer.body)
-        except ValueError as error:
-            record.write(f"config as read back: {answer.body.decode()}")
-            problems[f"CONFIG: the config can't be read back: {error}"] = True
-            continue
-        found = {
-            (item["resourceType"], item["metadata"].get("name", "")): item
-            for item in document["resources"]
-        }
-        if found == names:
-            return []
-        record.write(f"config as read back: {answer.body.decode()}")
-        problems["CONFIG: the config read back isn't what was acknowledged"] = True
-    return list(problems)
+            dropped = {
+                "routes": [{"name": "r-hold", "version": "00000002"}],
+                "services": [{"name": SERVICE, "version": "00000002"}],
+            }
+            await expect_ack(fleet.patch([], dropped))
+        await asyncio.sleep(DROPPED_SECONDS)
+        await expect_ack(
+            fleet.patch(
+                [
+                    build_route("r-hold", 3, "/holds/", SERVICE),
+                    build_service(SERVICE, 3, keyed=True, warmup="0s"),
+                ]
+            )
+        )
+        await asyncio.sleep(6.0)
+        load.cancel()
+        await asyncio.gather(load, return_exceptions=True)
+        return judge(record, fleet)
+
+
+async def expect_ack(order):
+    """Waits for an order, which control must acknowledge."""
+    answer = await order
+    if answer.status != 200:
+        raise AssertionError(f"the order got {answer.status}")
+
+
+async def send_load(fleet):
+    """Sends requests with keys of all ranges."""
+    tasks = set()
+    number = 0
+    due = time.monotonic()
+    try:
+        while True:
+            task = asyncio.create_task(
+                fleet.send(
+                    fleet.entries[number % len(fleet.entries)],
+                    "/holds/x",
+                    method="POST",
+                    body=b"one roll",
+                    key=random.randrange(65536),
+                )
+            )
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            number += 1
+            due += 1 / RATE
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+    finally:
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def judge(record, fleet):
+    """Returns a line for each row of keys that two servers held for too long."""
+    broken = []
+    for one, two, first, last, since, until in fleet.owners.find_overlaps(
+        SERVICE, MIN_OVERLAP
+    ):
+        broken.append(
+            f"OWNER: {one} and {two} both hold keys {first} to {last} from "
+            f"{since - record.started:.3f} to {until - record.started:.3f} s"
+        )
+    return broken
 
 
 run_case(play, Path(__file__).resolve().parent)
