Release keys only by heartbeats that follow the leader's own answers

A heartbeat that had been held up for 5 to 9 s reached a new leader first. The leader took its `freed` rows, which name no epoch, for a release of the present assignment, and gave the keys to another server at once.

Evidence: in the record, heartbeat 6 (released 9830-9965) arrives at the new leader 7.2 s late; 1.4 s later another server is granted 9830-9965, which the first holds under epoch 51.

A range now counts as released once this leader has left it out of an answer and a later heartbeat does not list it, if that heartbeat is known to follow the last answer of an earlier leader: after 4.28 s of a term, or when it lists an epoch that this leader assigned. `freed` only brings handovers. A server that has to release its keys early in a term gets one range under a new epoch to show that. No late message can release anything, as no earlier leader can have answered a heartbeat that was sent after an answer of this one.

The same rule mends keys that nobody served: a server that was asked to release keys it had never been granted does not report them.

--- a/src/monsoonlug/keyranges.py
+++ b/src/monsoonlug/keyranges.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from monsoonlug.ids import SLICE_COUNT, Epoch, PoolId, ServerId
@@ -45,6 +45,24 @@
         """Returns the part of the range from `start` to `end` included."""
         return replace(self, start=max(start, self.start), end=min(end, self.end))
 
+    def overlaps(self, start: int, end: int) -> bool:
+        """Returns whether the range contains a key from `start` to `end` included."""
+        return self.start <= end and start <= self.end
+
+    def subtract(self, rows: Iterable[tuple[int, int]]) -> Iterator["KeyRange"]:
+        """Yields the parts of the range outside of rows of first and last key.
+
+        >>> [part.end for part in KeyRange(start=0, end=9).subtract([(3, 5)])]
+        [2, 9]
+        """
+        start = self.start
+        for first, last in sorted(row for row in rows if self.overlaps(*row)):
+            if start < first:
+                yield self.cut(start, first - 1)
+            start = max(start, last + 1)
+        if start <= self.end:
+            yield self.cut(start, self.end)
+
     def can_merge_with(self, other: "KeyRange") -> bool:
         """Returns whether a range follows this one and has the same owner and epoch."""
         if self.end + 1 != other.start:
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -37,20 +37,17 @@
     pack_range,
     read_range,
 )
-from monsoonlug.heartbeats import LEASE_TIME, LeaseGrant, ServerHeartbeat
+from monsoonlug.heartbeats import LeaseGrant, ServerHeartbeat
 from monsoonlug.ids import Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.items import ItemKind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
+from monsoonlug.leases import LEASE_TIMEOUT, ServerLease
 from monsoonlug.logs import get_logger
-from monsoonlug.releases import Release, find_release, subtract_releases
+from monsoonlug.releases import Release, find_release
 from monsoonlug.request_limits import FleetLimits
 
-MAX_CLOCK_DRIFT = 1.02  # factor by which a server's clock may run slow
 # Milliseconds by which the times of day of a server and of control may differ.
 MAX_CLOCK_SKEW_MS = 1_000
-LEASE_MARGIN = 0.2  # seconds; covers rounding and delays of a server's timers
-# Seconds after a response, by when the server's lease has expired on its own clock.
-LEASE_TIMEOUT = LEASE_TIME * MAX_CLOCK_DRIFT + LEASE_MARGIN
 # Seconds after the last new server, in which entries probe the speed of the servers.
 INITIAL_ASSIGNMENT_DELAY = 2.8
 REMOVAL_TIMEOUT = 20.0  # seconds; longer than any heartbeat is in transit
@@ -83,11 +80,12 @@
 
     Attributes:
         born: Start time of the process, in Unix milliseconds.
-        lease_expires_at: Time from which the process cannot hold a lease any more.
+        lease: Its lease, and what its heartbeats tell about it.
         slowdown: Service time on the server's machine relative to normal.
         base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
         deferrals: Heartbeats at which a release waited for a timely target.
-        held: Start, end and epoch of the ranges that it holds.
+        has_new_epoch: Whether one of its ranges was assigned to it once more, so that
+            its heartbeats show that it takes answers of this leader.
         is_leaving: Whether its responses say that it shuts down.
         resting_until: Time until which it wants no requests.
         avoided_until: Time until which it gets no keys.
@@ -96,15 +94,14 @@
 
     born: int
     last_heartbeat_at: float
-    sequence: int = -1
-    lease_expires_at: float
+    lease: ServerLease
     cold_until: float = 0.0
     has_left: bool = False
     utilization: float = 0.0
     slowdown: float = 1.0
     base_latency: float = 0.0
     deferrals: int = 0
-    held: frozenset[tuple[int, int, int]] = frozenset()
+    has_new_epoch: bool = False
     is_leaving: bool = False
     resting_until: float = -math.inf
     avoided_until: float = -math.inf
@@ -158,13 +155,12 @@
         self._pending_grants: dict[ServerId, dict[tuple[PoolId, int, int], int]] = {}
         self._notices: list[object] = []
         self.limits = FleetLimits()
+        self._first_epoch = view.revision
         for record in view.servers.values():
             # The previous leader may have renewed every lease just before it lost its
             # role.
-            self._processes[record.server] = _Process(
-                born=record.born,
-                last_heartbeat_at=now,
-                lease_expires_at=now + LEASE_TIMEOUT,
+            self._processes[record.server] = self._build_process(
+                now, record.born, lease_end=now + LEASE_TIMEOUT
             )
 
     def take_notices(self) -> list[object]:
@@ -204,17 +200,14 @@
         if self._view.items.find(ItemKind.POOL, heartbeat.pool) is None:
             return []
         if process is None or process.born != heartbeat.born:
-            process = _Process(
-                born=heartbeat.born, last_heartbeat_at=now, lease_expires_at=now
-            )
+            process = self._build_process(now, heartbeat.born, lease_end=now)
             self._processes[heartbeat.server] = process
             self.limits.remove(now, heartbeat.server)
             plan = self._get_plan(heartbeat.pool)
             plan.last_joined_at = now
             plan.candidates_at = -math.inf
         process.last_heartbeat_at = now
-        process.sequence = heartbeat.sequence
-        process.held = frozenset(heartbeat.held)
+        process.lease.record_heartbeat(now, heartbeat)
         self._update_cold_state(now, heartbeat, process)
         commands: list[FleetCommand] = []
         updated = FleetServer(
@@ -231,7 +224,8 @@
         if updated != record:
             _log_change(record, updated)
             commands.append(PutServer(record=messages.encode(updated)))
-        commands += self._reassign_released(now, heartbeat)
+        commands += self._reassign_released(now, updated, process)
+        commands += self._assign_new_epoch(now, updated, process)
         return commands
 
     def handle_leave(
@@ -273,12 +267,9 @@
             slots=1,
             draining=True,
         )
-        self._processes[server] = _Process(
-            born=record.born,
-            last_heartbeat_at=now,
-            lease_expires_at=now,
-            has_left=True,
-        )
+        process = self._build_process(now, record.born, lease_end=now)
+        process.has_left = True
+        self._processes[server] = process
         return PutServer(record=messages.encode(record))
 
     def renew_lease(self, now: float, server: ServerId, born: int) -> LeaseGrant | None:
@@ -303,19 +294,27 @@
         if not process.has_left:
             self._start_releases(now, record, process, table)
         releases = self._get_plan(record.pool).releases
-        ranges = []
+        ranges: list[KeyRange] = []
+        withheld: list[KeyRange] = []
         for key_range in table.iterate_owned(server):
             if key_range.born != born:
                 continue
-            for part in subtract_releases(key_range, releases):
+            if process.has_left:
+                withheld.append(key_range)
+                continue
+            rows = [
+                (item.start, item.end)
+                for item in releases
+                if key_range.overlaps(item.start, item.end)
+            ]
+            if not rows:
+                ranges.append(self._strip_handover(process, key_range))
+                continue
+            for part in key_range.subtract(rows):
                 ranges.append(self._strip_handover(process, part))
+            withheld += [key_range.cut(*row) for row in rows]
         self._confirm_granted(server, record.pool, ranges)
-        if process.has_left:
-            ranges = []
-        if ranges:
-            process.lease_expires_at = max(
-                process.lease_expires_at, now + LEASE_TIMEOUT
-            )
+        process.lease.record_answer(now, ranges, withheld)
         return LeaseGrant(ranges=ranges)
 
     def apply_committed(self, now: float, changes: Iterable[object]) -> None:
@@ -399,8 +398,10 @@
     ) -> bool:
         if record is not None and heartbeat.born < record.born:
             return True
+        if process is not None and heartbeat.born < process.born:
+            return True
         if process is not None and process.born == heartbeat.born:
-            return heartbeat.sequence <= process.sequence
+            return heartbeat.sequence <= process.lease.sequence
         for other in self._view.servers.values():
             if other.address == heartbeat.address and other.born > heartbeat.born:
                 return True
@@ -417,6 +418,12 @@
             self._notices.append(notice)
         process.cold_until = until
 
+    def _build_process(self, now: float, born: int, *, lease_end: float) -> _Process:
+        lease = ServerLease(
+            expires_at=lease_end, trusted_at=lease_end, first_epoch=self._first_epoch
+        )
+        return _Process(born=born, last_heartbeat_at=now, lease=lease)
+
     def _get_plan(self, pool: PoolId) -> _PoolPlan:
         plan = self._plans.get(pool)
         if plan is None:
@@ -579,7 +586,7 @@
         process = self._processes.get(key_range.owner)
         if process is None:
             return True
-        return self._is_silent(now, process) and now > process.lease_expires_at
+        return self._is_silent(now, process) and now > process.lease.expires_at
 
     def _interleave_domains(
         self, candidates: dict[ServerId, ServerLoad]
@@ -675,14 +682,14 @@
         self, now: float, record: FleetServer, process: _Process, table: KeyTable
     ) -> None:
         plan = self._get_plan(record.pool)
-        if self._view.is_in_service(record) and not self._must_rest(
-            now, record, process, table
-        ):
+        if self._must_release_all(now, record, process, table):
+            moves = self._list_releasable(record, process, table)
+        elif process.lease.is_trusted:
             moves = [
                 item for item in plan.planned_moves if item.source == record.server
             ]
         else:
-            moves = _list_owned(record, table)
+            return
         if not moves:
             return
         candidates = self._get_candidates(now, record.pool, table)
@@ -718,6 +725,34 @@
         if has_started:
             process.deferrals = 0
 
+    def _must_release_all(
+        self, now: float, record: FleetServer, process: _Process, table: KeyTable
+    ) -> bool:
+        """Returns whether a server should own no keys any more."""
+        if not self._view.is_in_service(record):
+            return True
+        return self._must_rest(now, record, process, table)
+
+    def _list_releasable(
+        self, record: FleetServer, process: _Process, table: KeyTable
+    ) -> list[RangeMove]:
+        """Returns moves of all ranges that a server may be asked to release now.
+
+        It keeps the ranges with an epoch of this leader until it has reported one.
+        """
+        moves = []
+        for key_range in table.iterate_owned(record.server):
+            if key_range.born != record.born:
+                continue
+            if not process.lease.is_trusted and key_range.epoch > self._first_epoch:
+                continue
+            moves.append(
+                RangeMove(
+                    start=key_range.start, end=key_range.end, source=record.server
+                )
+            )
+        return moves
+
     def _must_rest(
         self, now: float, record: FleetServer, process: _Process, table: KeyTable
     ) -> bool:
@@ -754,39 +789,60 @@
         return found
 
     def _reassign_released(
-        self, now: float, heartbeat: ServerHeartbeat
+        self, now: float, record: FleetServer, process: _Process
     ) -> list[FleetCommand]:
-        table = self._view.tables.get(heartbeat.pool)
-        if table is None or not heartbeat.freed:
+        """Returns the commands that assign the ranges that a server has released."""
+        table = self._view.tables.get(record.pool)
+        if table is None:
             return []
-        plan = self._get_plan(heartbeat.pool)
-        candidates = self._get_candidates(now, heartbeat.pool, table)
-        candidates.pop(heartbeat.server, None)
-        rows = []
-        for start, end, handover in heartbeat.freed:
-            for key_range in table.iterate_between(start, end):
-                if (
-                    key_range.owner != heartbeat.server
-                    or key_range.born != heartbeat.born
-                ):
-                    continue
-                rows += self._reassign_range(key_range, handover, plan, candidates)
-        if not rows:
+        released = process.lease.list_released(table)
+        if not released:
             return []
+        plan = self._get_plan(record.pool)
+        candidates = self._get_candidates(now, record.pool, table)
+        candidates.pop(record.server, None)
+        rows = []
+        for key_range in released:
+            rows += self._reassign_range(key_range, plan, candidates)
         return [
             AssignKeys(
-                pool=heartbeat.pool, rows=[pack_range(key_range) for key_range in rows]
+                pool=record.pool, rows=[pack_range(key_range) for key_range in rows]
             )
         ]
 
+    def _assign_new_epoch(
+        self, now: float, record: FleetServer, process: _Process
+    ) -> list[FleetCommand]:
+        """Returns the command that gives a range of a server a new epoch.
+
+        A server that has to release its ranges can thus show early in a term that a
+        heartbeat is not one from before the last answer of the previous leader.
+        """
+        table = self._view.tables.get(record.pool)
+        if process.lease.is_trusted or process.has_new_epoch or table is None:
+            return []
+        if process.has_left or not self._must_release_all(now, record, process, table):
+            return []
+        owned = [
+            key_range
+            for key_range in table.iterate_owned(record.server)
+            if key_range.born == record.born
+        ]
+        if not owned:
+            return []
+        process.has_new_epoch = True
+        smallest = min(owned, key=lambda key_range: key_range.size)
+        row = pack_range(replace(smallest, handover=""))
+        return [AssignKeys(pool=record.pool, rows=[row])]
+
     def _reassign_range(
         self,
         key_range: KeyRange,
-        handover: str,
         plan: _PoolPlan,
         candidates: dict[ServerId, ServerLoad],
     ) -> list[KeyRange]:
         rows = []
+        handover = key_range.handover
         start = key_range.start
         while start <= key_range.end:
             release = find_release(plan.releases, start)
@@ -851,7 +907,7 @@
     def _strip_handover(self, process: _Process, key_range: KeyRange) -> KeyRange:
         if not key_range.handover:
             return key_range
-        for start, end, epoch in process.held:
+        for start, end, epoch in process.lease.held:
             if (
                 start <= key_range.start
                 and key_range.end <= end
@@ -892,15 +948,3 @@
     Heartbeats that it sent earlier may arrive seconds later.
     """
     return record is not None and record.born == heartbeat.born and record.draining
-
-
-def _list_owned(record: FleetServer, table: KeyTable) -> list[RangeMove]:
-    moves = []
-    for key_range in table.iterate_owned(record.server):
-        if key_range.born == record.born:
-            moves.append(
-                RangeMove(
-                    start=key_range.start, end=key_range.end, source=record.server
-                )
-            )
-    return moves
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,32 @@
+"""Tests that two backend servers never hold a key at the same time, in virtual time."""
+
+import pytest
+
+from tests.ownership_model import Disruptions, Model
+
+SEEDS = range(8)
+
+
+def play(seed, **disruptions):
+    """Plays 40 s of disruptions, and 30 s in which all keys find an owner again."""
+    model = Model(seed=seed)
+    model.run(8.0)
+    model.check_all_served()
+    model.disturb(Disruptions(**disruptions), until=48.0)
+    model.calm()
+    model.check_all_served()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_late_heartbeats_release_nothing_at_a_new_leader(seed):
+    """Guards against a late heartbeat that takes keys from the server that holds them.
+
+    The new leader does not know which heartbeats its predecessor has answered.
+    """
+    play(
+        seed,
+        late_share=0.02,
+        late_release_share=0.5,
+        leader_changes=0.2,
+        domain_changes=2.0,
+    )
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -166,6 +166,82 @@
     assert row.epoch > first.epoch
 
 
+def list_rows(ranges):
+    return [(row.start, row.end, row.epoch) for row in ranges]
+
+
+def test_late_releases_take_no_keys_at_a_new_leader(leader):
+    """Guards against the reassignment of keys that were granted again since.
+
+    Two heartbeats with released keys were in transit while the server got them back.
+    """
+    first = leader.find_first_range("s1")
+    leader.send_heartbeat("s1")
+    leader.commit([DomainChanged(failure_domain="east", in_service=False)])
+    leader.send_heartbeat("s3", domain="west")
+    leader.elect()
+    late = [(first.start, first.end, "token")]
+    for _ in range(2):
+        leader.send_heartbeat("s1", freed=late)
+        assert leader.find_owner(first.start) == "s1"
+
+
+def test_new_leader_believes_releases_once_earlier_leases_are_over(leader):
+    """Guards against keys that stay with a server that has released them."""
+    first = leader.find_first_range("s1")
+    leader.elect()
+    leader.now += LEASE_TIMEOUT
+    leader.send_heartbeat("s2")
+    leader.send_heartbeat("s1", draining=True)
+    leader.send_heartbeat("s1", draining=True)
+    assert leader.find_owner(first.start) == "s2"
+
+
+def test_draining_server_releases_its_keys_early_in_a_term(leader):
+    """Guards against keys that nobody serves until the leases of the last term end.
+
+    The server shows by the epoch of one range that it takes this leader's answers.
+    """
+    held = list_rows(leader.send_heartbeat("s1"))
+    leader.elect()
+    leader.send_heartbeat("s2")
+    granted = list_rows(leader.send_heartbeat("s1", draining=True, held=held))
+    assert len(granted) == 1
+    assert granted[0][2] > max(epoch for _, _, epoch in held)
+    before = leader.count_keys("s1")
+    assert leader.send_heartbeat("s1", draining=True, held=granted) == []
+    assert leader.count_keys("s1") < before / 2
+    leader.send_heartbeat("s1", draining=True)
+    assert leader.count_keys("s1") == 0
+
+
+def test_keys_that_were_never_granted_are_released(leader):
+    """Guards against keys that wait for a report which their server cannot send.
+
+    The server got them assigned, and its domain was taken out before its heartbeat.
+    """
+    leader.commit(leader.registrar.handle_leave(leader.now, "s2", unix_ms=1))
+    leader.send_heartbeat("s3", domain="west")
+    leader.commit([DomainChanged(failure_domain="east", in_service=False)])
+    leader.send_heartbeat("s1")
+    leader.send_heartbeat("s1")
+    assert leader.count_keys("s1") == 0
+    assert leader.count_keys("s3") > 0
+
+
+def test_keys_that_a_server_still_works_on_are_not_released(leader):
+    """Guards against a second owner while a request for the keys is running."""
+    rows = list_rows(leader.send_heartbeat("s1"))
+    busy = rows[0]
+    leader.send_heartbeat("s1", draining=True, held=rows)
+    freed = [(start, end, "token") for start, end, _ in rows]
+    leader.send_heartbeat("s1", draining=True, held=[busy], freed=freed)
+    assert leader.find_owner(busy[0]) == "s1"
+    assert leader.count_keys("s1") == busy[1] - busy[0] + 1
+    leader.send_heartbeat("s1", draining=True)
+    assert leader.count_keys("s1") == 0
+
+
 def test_leaving_server_never_gets_its_keys_back(leader):
     """Guards against keys that stay with a draining server."""
     leader.send_heartbeat("s1", draining=True)
