Grant and assign no keys whose reassignment is being committed

Seen in the model in virtual time, with commits of up to 0.8 s: two servers hold the same keys. The leader decides from the applied state, so between the proposal and its commit it renewed the lease of the old owner, and assigned the same keys to another server every 0.25 s.

The registrar now keeps what it has proposed until that is applied, leaves these keys out of all answers and decisions, and does not renew the lease of a server that it is removing. All commands of a heartbeat are proposed together.

--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -247,8 +247,7 @@
                 heartbeat.born,
             )
             return None
-        for command in commands:
-            await self._commit(command)
+        await self._commit_all(commands)
         await self.confirm_leadership()
         registrar = self._get_registrar()
         grant = registrar.renew_lease(read_clock(), heartbeat.server, heartbeat.born)
@@ -265,8 +264,7 @@
         commands = self._get_registrar().handle_leave(
             read_clock(), server, unix_ms=time.time_ns() // 1_000_000
         )
-        for command in commands:
-            await self._commit(command)
+        await self._commit_all(commands)
         await self.confirm_leadership()
         logger.info("Backend server {} announced its shutdown.", server)
 
@@ -385,13 +383,19 @@
         return self._publisher.registrar
 
     async def _commit(self, command: object) -> None:
-        future = self._group.propose(command)
+        await self._commit_all([command])
+
+    async def _commit_all(self, commands: list) -> None:
+        """Commits commands in order; all are proposed, even if one fails."""
+        futures = [self._group.propose(command) for command in commands]
         try:
-            result = await asyncio.wait_for(asyncio.shield(future), COMMIT_TIMEOUT)
+            async with asyncio.timeout(COMMIT_TIMEOUT):
+                results = await asyncio.gather(*map(asyncio.shield, futures))
         except TimeoutError:
             raise ControlUnreachable() from None
-        if not result.accepted:
-            raise BadRequest(result.text)
+        for result in results:
+            if not result.accepted:
+                raise BadRequest(result.text)
 
     # Events of the group and streams of its members.
 
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -183,16 +183,17 @@
 
     def handle_applied(self, command: object, delta: FleetDelta | None) -> None:
         """Sends the delta of a committed command to the entries."""
-        if delta is None:
-            return
-        self._deltas.append(delta)
         if self.registrar is not None:
-            changes = [messages.decode(change) for change in delta.changes]
-            self.registrar.apply_committed(self._clock(), changes)
+            packed = delta.changes if delta is not None else []
+            changes = [messages.decode(change) for change in packed]
+            self.registrar.apply_committed(self._clock(), command, changes)
             if any(isinstance(change, Item) for change in changes):
                 self._rate_limiter.configure(
                     self._clock(), list_limits(self._view.items)
                 )
+        if delta is None:
+            return
+        self._deltas.append(delta)
         if self._flush_timer is None and self._subscribers:
             loop = asyncio.get_running_loop()
             delay = self._get_batch_delay(DELTA_BATCH_DELAY)
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -153,6 +153,9 @@
         self._plans: dict[PoolId, _PoolPlan] = {}
         # Epochs of assignments that were not granted yet, by owner, pool and range.
         self._pending_grants: dict[ServerId, dict[tuple[PoolId, int, int], int]] = {}
+        # First and last keys of assignments that are being committed.
+        self._proposed_rows: dict[PoolId, set[tuple[int, int]]] = {}
+        self._proposed_removals: set[tuple[ServerId, int]] = set()
         self._notices: list[object] = []
         self.limits = FleetLimits()
         self._first_epoch = view.revision
@@ -276,8 +279,8 @@
         """Grants a server its ranges for the next lease and starts planned releases.
 
         Returns:
-            The granted ranges, or None if the pool has no keys or another process is
-            registered for the server.
+            The granted ranges, or None if the pool has no keys, the server is being
+            removed, or another process is registered for it.
         """
         record = self._view.servers.get(server)
         process = self._processes.get(server)
@@ -286,6 +289,7 @@
             or process is None
             or record.born != born
             or process.born != born
+            or (server, born) in self._proposed_removals
         ):
             return None
         table = self._view.tables.get(record.pool)
@@ -293,7 +297,7 @@
             return None
         if not process.has_left:
             self._start_releases(now, record, process, table)
-        releases = self._get_plan(record.pool).releases
+        leaving_rows = self._list_leaving_rows(record.pool)
         ranges: list[KeyRange] = []
         withheld: list[KeyRange] = []
         for key_range in table.iterate_owned(server):
@@ -302,11 +306,7 @@
             if process.has_left:
                 withheld.append(key_range)
                 continue
-            rows = [
-                (item.start, item.end)
-                for item in releases
-                if key_range.overlaps(item.start, item.end)
-            ]
+            rows = [row for row in leaving_rows if key_range.overlaps(*row)]
             if not rows:
                 ranges.append(self._strip_handover(process, key_range))
                 continue
@@ -317,8 +317,21 @@
         process.lease.record_answer(now, ranges, withheld)
         return LeaseGrant(ranges=ranges)
 
-    def apply_committed(self, now: float, changes: Iterable[object]) -> None:
-        """Updates releases and pending grants for committed changes."""
+    def apply_committed(
+        self, now: float, command: FleetCommand, changes: Iterable[object]
+    ) -> None:
+        """Updates releases and pending grants for a committed command.
+
+        Args:
+            now: Time in seconds.
+            command: The command.
+            changes: The changes of the view that it caused.
+        """
+        if isinstance(command, AssignKeys):
+            rows = {(row[0], row[1]) for row in command.rows}
+            self._proposed_rows.get(command.pool, set()).difference_update(rows)
+        elif isinstance(command, RemoveServer):
+            self._proposed_removals.discard((command.server, command.born))
         for change in changes:
             if not isinstance(change, KeysAssigned) or covers_all_keys(change):
                 continue
@@ -564,6 +577,7 @@
             key_range
             for key_range in table.iterate()
             if self._is_assignable(now, key_range)
+            and not self._is_proposed(pool, key_range)
         ]
         if not unowned or not candidates:
             return
@@ -578,7 +592,7 @@
         else:
             for key_range in unowned:
                 rows.append(self._assign_range(key_range, plan, candidates))
-        yield AssignKeys(pool=pool, rows=[pack_range(key_range) for key_range in rows])
+        yield self._build_assignment(pool, rows)
 
     def _is_assignable(self, now: float, key_range: KeyRange) -> bool:
         if key_range.owner == NO_OWNER:
@@ -624,6 +638,23 @@
             key_range.start, key_range.end, candidate.server, handover
         )
 
+    def _build_assignment(self, pool: PoolId, ranges: list[KeyRange]) -> AssignKeys:
+        """Returns a command to propose; its ranges are not granted meanwhile."""
+        proposed = self._proposed_rows.setdefault(pool, set())
+        proposed.update((key_range.start, key_range.end) for key_range in ranges)
+        return AssignKeys(
+            pool=pool, rows=[pack_range(key_range) for key_range in ranges]
+        )
+
+    def _is_proposed(self, pool: PoolId, key_range: KeyRange) -> bool:
+        rows = self._proposed_rows.get(pool, ())
+        return any(key_range.overlaps(*row) for row in rows)
+
+    def _list_leaving_rows(self, pool: PoolId) -> list[tuple[int, int]]:
+        """Returns first and last keys of the ranges that are changing their owner."""
+        rows = [(item.start, item.end) for item in self._get_plan(pool).releases]
+        return [*rows, *self._proposed_rows.get(pool, ())]
+
     def _build_range(
         self, start: int, end: int, owner: ServerId, handover: str
     ) -> KeyRange:
@@ -639,6 +670,7 @@
                     self.limits.remove(now, server)
                 continue
             if now - process.last_heartbeat_at > REMOVAL_TIMEOUT:
+                self._proposed_removals.add((server, process.born))
                 yield RemoveServer(server=server, born=process.born)
 
     def _drain_leaving_servers(self) -> Iterator[FleetCommand]:
@@ -795,7 +827,11 @@
         table = self._view.tables.get(record.pool)
         if table is None:
             return []
-        released = process.lease.list_released(table)
+        released = [
+            key_range
+            for key_range in process.lease.list_released(table)
+            if not self._is_proposed(record.pool, key_range)
+        ]
         if not released:
             return []
         plan = self._get_plan(record.pool)
@@ -804,11 +840,7 @@
         rows = []
         for key_range in released:
             rows += self._reassign_range(key_range, plan, candidates)
-        return [
-            AssignKeys(
-                pool=record.pool, rows=[pack_range(key_range) for key_range in rows]
-            )
-        ]
+        return [self._build_assignment(record.pool, rows)]
 
     def _assign_new_epoch(
         self, now: float, record: FleetServer, process: _Process
@@ -827,13 +859,13 @@
             key_range
             for key_range in table.iterate_owned(record.server)
             if key_range.born == record.born
+            and not self._is_proposed(record.pool, key_range)
         ]
         if not owned:
             return []
         process.has_new_epoch = True
         smallest = min(owned, key=lambda key_range: key_range.size)
-        row = pack_range(replace(smallest, handover=""))
-        return [AssignKeys(pool=record.pool, rows=[row])]
+        return [self._build_assignment(record.pool, [replace(smallest, handover="")])]
 
     def _reassign_range(
         self,
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -221,7 +221,7 @@
         if self.registrar is None:
             return
         changes = [messages.decode(item) for item in delta.changes] if delta else []
-        self.registrar.apply_committed(self.now, changes)
+        self.registrar.apply_committed(self.now, command, changes)
 
     def decide(self):
         self.at(DECISION_INTERVAL, self.decide)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -30,3 +30,21 @@
         leader_changes=0.2,
         domain_changes=2.0,
     )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_slow_commits_assign_no_key_twice(seed):
+    """Guards against decisions that do not know what is being committed.
+
+    With a slow disk, a lease was renewed for keys whose reassignment was on its way,
+    and keys were assigned to two servers one after the other.
+    """
+    play(
+        seed,
+        late_share=0.05,
+        leader_changes=0.1,
+        domain_changes=0.3,
+        partitions=0.4,
+        restarts=0.1,
+        max_commit_delay=0.8,
+    )
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -133,7 +133,7 @@
     Each message costs each of hundreds of entries the same, whatever its size.
     """
     publisher = leader.publisher
-    publisher.registrar = SimpleNamespace(apply_committed=lambda now, changes: None)
+    publisher.registrar = SimpleNamespace(apply_committed=lambda *arguments: None)
     streams = [FakeStream() for _ in range(3)]
     for stream in streams:
         publisher._subscribers.add(Subscriber(stream=stream, sent_revision=0))
@@ -157,7 +157,7 @@
 async def test_response_to_a_heartbeat_follows_the_deltas(leader):
     """Guards against a view that counts as confirmed before its last change is sent."""
     publisher = leader.publisher
-    publisher.registrar = SimpleNamespace(apply_committed=lambda now, changes: None)
+    publisher.registrar = SimpleNamespace(apply_committed=lambda *arguments: None)
     stream = FakeStream()
     subscriber = Subscriber(stream=stream, sent_revision=0)
     publisher._subscribers.add(subscriber)
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -45,11 +45,12 @@
             before = self.fleet.state.view.revision
             self.fleet.index += 1
             _, delta = self.fleet.state.apply(self.fleet.index, command)
+            changes = []
             if delta is None:
                 assert self.fleet.state.view.revision == before
-                continue
-            changes = self.fleet.view.apply(delta)
-            self.registrar.apply_committed(self.now, changes)
+            else:
+                changes = self.fleet.view.apply(delta)
+            self.registrar.apply_committed(self.now, command, changes)
 
     def run_timer(self):
         self.commit(list(self.registrar.plan_commands(self.now)))
