Send no two requests with the same id on one connection

A server refused the first attempt, the gate sent the second one on the same connection, and a late copy of the refusal arrived there first. Attempts share the caller's id, so the echoed id fitted.

The pool now gives a request no connection that has carried its id. A connection is closed after 256 requests, which bounds the memory of ids. An answer with an id is no longer taken for the answer to a request without one, such as a probe. As two requests on one connection never share an id, no earlier answer there can pass the check.

Tests: six in test_second_answers failed before, and one of probes in test_endless_bytes. The test of a probe of an endless server used a head with the id of a request, which is no answer to a probe now: it has both forms, each with its outcome.

--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -37,6 +37,7 @@
 from monsoonlug.http_connections import (
     CheckedConnector,
     CheckedResponse,
+    ConnectionUse,
     TrackedHandler,
 )
 from monsoonlug.ids import RequestId, ServerId
@@ -160,15 +161,21 @@
         if remaining <= 0:
             raise DeadlineExceeded()
         connect = min(self._connect_timeout, CONNECT_TIMEOUT_SHARE * remaining)
-        self._connector.set_max_idle(
-            self._max_idle if request.idempotent else self._max_idle_nonidempotent
+        headers = self.build_headers(request, remaining)
+        self._connector.prepare(
+            ConnectionUse(
+                request_id=headers.get(self.request_id_header, ""),
+                max_idle=self._max_idle
+                if request.idempotent
+                else self._max_idle_nonidempotent,
+            )
         )
         try:
             async with asyncio.timeout(remaining):
                 call.response = await self._session.request(
                     request.method,
                     URL(f"http://{self.address}{request.target}", encoded=True),
-                    headers=self.build_headers(request, remaining),
+                    headers=headers,
                     data=None if body is None else _check_body_length(request, body),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(total=None, connect=connect),
@@ -187,7 +194,7 @@
 
     async def probe(self, path: str) -> float | None:
         """Requests the health path of the server; see `BackendProtocol.probe`."""
-        self._connector.set_max_idle(self._max_idle)
+        self._connector.prepare(ConnectionUse(max_idle=self._max_idle))
         try:
             async with asyncio.timeout(PROBE_TIMEOUT):
                 response = await self._session.get(
--- a/src/monsoonlug/http_connections.py
+++ b/src/monsoonlug/http_connections.py
@@ -4,7 +4,10 @@
 import math
 import re
 import time
+from collections import deque
 from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -16,13 +19,54 @@
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 UNACKED_TIMEOUT_MS = 2_000  # for sent data without a TCP acknowledgement
+# Bounds the memory for the ids that a connection has carried.
+MAX_REQUESTS_PER_CONNECTION = 256
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionUse:
+    """What a request needs of its connection.
+
+    Attributes:
+        request_id: Id that the response echoes, or an empty string.
+        max_idle: Seconds for which the connection may have been idle.
+    """
+
+    request_id: str = ""
+    max_idle: float = math.inf
+
+
+_ANY_CONNECTION = ConnectionUse()
+_next_use: ContextVar[ConnectionUse] = ContextVar("next_use", default=_ANY_CONNECTION)
 
 
 class TrackedHandler(ResponseHandler):
-    """Records whether its connection was reset."""
+    """Records which requests a connection has carried and whether it was reset."""
 
     is_reset = False
 
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self._carried: set[str] = set()
+        self._request_count = 0
+
+    def record_request(self, request_id: str) -> None:
+        """Records that the connection carries a request."""
+        self._request_count += 1
+        if request_id:
+            self._carried.add(request_id)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether the connection has carried a request with an id."""
+        return request_id in self._carried
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection must not carry another request."""
+        if self._request_count >= MAX_REQUESTS_PER_CONNECTION:
+            return True
+        return super().should_close
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handles the end of the connection."""
         self.is_reset = exc is not None
@@ -34,18 +78,18 @@
 
     Idle connections with unsolicited data from the server are closed. The connection
     pool of aiohttp would reuse them, and the data would be read as the response to the
-    next request.
+    next request. For the same reason, no connection carries two requests with the same
+    id: the second one would take a late copy of the first response for its own.
     """
 
     def __init__(self, *, may_send: Callable[[], bool], **options):
         super().__init__(**options)
         self._factory = functools.partial(TrackedHandler, loop=self._loop)
         self._may_send = may_send
-        self._max_idle = math.inf
 
-    def set_max_idle(self, seconds: float) -> None:
-        """Limits the idle time of the connection for the next request, in seconds."""
-        self._max_idle = seconds
+    def prepare(self, use: ConnectionUse) -> None:
+        """Sets what the next request of the current task needs of its connection."""
+        _next_use.set(use)
 
     async def connect(self, *arguments, **options):
         """Returns a connection for the next request.
@@ -58,10 +102,12 @@
         if not self._may_send():
             connection.release()
             raise LeaseOver()
+        connection.protocol.record_request(_next_use.get().request_id)
         return connection
 
     async def _get(self, key, traces):
-        too_idle = self._take_idle_connections(key)
+        unusable = self._set_unusable_aside(key)
+        connection = None
         try:
             while True:
                 connection = await super()._get(key, traces)
@@ -69,22 +115,39 @@
                     return connection
                 connection.close()
         finally:
-            if too_idle:
-                self._conns[key].extendleft(reversed(too_idle))
+            if connection is None:
+                self._close_excess(key, unusable)
+            if unusable:
+                usable = self._conns.get(key, ())
+                merged = sorted([*unusable, *usable], key=lambda item: item[1])
+                self._conns[key] = deque(merged)
 
-    def _take_idle_connections(self, key) -> list:
-        """Removes and returns pooled connections that were idle for too long.
+    def _set_unusable_aside(self, key) -> list:
+        """Removes and returns the pooled connections that the next request cannot use.
 
-        `_get` puts them back, as a request with a higher limit may use them.
+        `_get` puts them back, as other requests may use them.
         """
+        use = _next_use.get()
         now = time.monotonic()
-        too_idle = []
-        connections = self._conns.get(key)
-        while connections and now - connections[0][1] > self._max_idle:
-            too_idle.append(connections.popleft())
-        if connections is not None and not connections:
+        usable = deque()
+        unusable = []
+        for item in self._conns.get(key, ()):
+            protocol, released_at = item
+            is_too_idle = now - released_at > use.max_idle
+            if is_too_idle or protocol.has_carried(use.request_id):
+                unusable.append(item)
+            else:
+                usable.append(item)
+        if unusable:
             del self._conns[key]
-        return too_idle
+        if unusable and usable:
+            self._conns[key] = usable
+        return unusable
+
+    def _close_excess(self, key, pooled: list) -> None:
+        """Closes pooled connections so that a new one does not exceed the limit."""
+        while pooled and self._available_connections(key) <= len(pooled):
+            pooled.pop(0)[0].close()
 
     async def _create_connection(self, *arguments, **options):
         protocol = await super()._create_connection(*arguments, **options)
@@ -108,7 +171,7 @@
         """Reads the head of the response to this request."""
         sent = self.request_info.headers.get(self.request_id_header)
         protocol = connection.protocol
-        while sent is not None:
+        while True:
             try:
                 message, payload = await protocol.read()
             except HttpProcessingError as error:
@@ -116,7 +179,7 @@
             if _contains_status_line(message):
                 raise aiohttp.ClientPayloadError("head joined from two responses")
             echoed = message.headers.get(self.request_id_header)
-            if message.code < 200 or echoed is None or echoed == sent:
+            if message.code < 200 or not echoed or echoed == sent:
                 # Put the response back, for aiohttp to read it.
                 protocol._buffer.appendleft(((message, payload), 0))
                 break
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -338,7 +338,9 @@
 async def test_buffered_complete_body_is_read_at_once(server, backend):
     """Guards against losing a complete body or leaking its connection."""
     for limit in (2, 1):
-        response = await send_with_response(backend, server, COMPLETE_RESPONSE)
+        response = await send_with_response(
+            backend, server, COMPLETE_RESPONSE, number=limit
+        )
         assert response.read_whole(limit) == (b"ok" if limit == 2 else None)
         if limit == 1:
             assert await read_body(response) == b"ok"
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -128,8 +128,18 @@
 
 async def test_probe_of_an_endless_server():
     """Guards against probes that never end."""
-    start = OWN_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     endless = EndlessServer(start, CHUNK)
     async with run_server(endless) as backend:
         assert await asyncio.wait_for(backend.probe("/health"), 2.0) is None
         await asyncio.wait_for(endless.closed.wait(), 1.0)
+
+
+async def test_probe_that_gets_an_endless_answer_to_a_request():
+    """Guards against probes that skip another response for ever."""
+    start = OWN_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    endless = EndlessServer(start, CHUNK)
+    async with run_server(endless) as backend:
+        with pytest.raises(OutcomeUnknown):
+            await asyncio.wait_for(backend.probe("/health"), 2.0)
+        await asyncio.wait_for(endless.closed.wait(), 1.0)
