Answer callers whose answer is lost before its first byte was sent

A server sends the head of its answer early; when the stream to the gate was lost, the caller's entry aborted the connection, as it took the arrival of the head for the start of the answer. But the head is kept until the first part of the body, and nothing had been sent.

`Attempts` now tells these apart with a state FORWARDED, from the first part of the body on. As only FORWARDED leads to an abort, no caller is left without an answer. An unexpected error after the first part aborts the connection, too, in place of a second response inside the first.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -142,7 +142,7 @@
 
         Raises:
             MonsoonlugError: If the request is refused or its outcome is unknown.
-            AnswerCutOff: If the response ended early after its head had arrived.
+            AnswerCutOff: If the response ended early and a part of it was sent.
         """
         try:
             await self._read_body()
@@ -158,6 +158,11 @@
         finally:
             self._close_exchange()
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a part of the response may have reached the caller."""
+        return self._response is not None
+
     @property
     def _needs_record(self) -> bool:
         admitted = self._admitted
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -60,12 +60,14 @@
 class AttemptState(Enum):
     """State of the current attempt.
 
-    From MAYBE_SENT on, the backend server may have received a part of the request.
+    From MAYBE_SENT on, the backend server may have received a part of the request. From
+    FORWARDED on, the caller may have received a part of the response.
     """
 
     NOT_SENT = "not sent"
     MAYBE_SENT = "maybe sent"
     ANSWERED = "answered"
+    FORWARDED = "forwarded"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -180,14 +182,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forward:
-    """Forward the frame to the caller; the last one completes the response."""
+    """Forward the frame to the caller; the last one completes the response.
+
+    The head goes out together with the first part of the body.
+    """
 
     last: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Refuse:
-    """Refuse the request, as no response head was forwarded, and cancel the attempt."""
+    """Refuse the request, as nothing was forwarded, and cancel the attempt."""
 
     refusal: Refusal
 
@@ -363,18 +368,18 @@
             return Drop()
         if isinstance(event, HeadArrived):
             return self._handle_head(event)
-        return self._handle_part(event)
+        return self._handle_part(now, event)
 
     def _handle_head(self, event: HeadArrived) -> Action:
-        if self.state is AttemptState.ANSWERED:
+        if self.state is not AttemptState.MAYBE_SENT:
             self._drops.duplicate += 1
             return Drop()
         self.state = AttemptState.ANSWERED
         self._length = event.length
         return Forward(last=False)
 
-    def _handle_part(self, event: PartArrived) -> Action:
-        if self.state is not AttemptState.ANSWERED:
+    def _handle_part(self, now: float, event: PartArrived) -> Action:
+        if self.state is AttemptState.MAYBE_SENT:
             self._drops.mismatched += 1
             return Drop()
         end = event.offset + event.size
@@ -382,20 +387,21 @@
             self._drops.duplicate += 1
             return Drop()
         if event.offset != self._received:
-            return self._end(Abort())
+            return self._handle_loss(now, OutcomeUnknown)
+        if self._length is not None:
+            is_complete = end == self._length
+            if end > self._length or (event.last and not is_complete):
+                return self._handle_loss(now, OutcomeUnknown)
         self._received = end
-        if self._length is not None and end > self._length:
-            return self._end(Abort())
+        self.state = AttemptState.FORWARDED
         if not event.last:
             return Forward(last=False)
-        if self._length is not None and end != self._length:
-            return self._end(Abort())
         return self._end(Forward(last=True))
 
     def _handle_failure(self, now: float, event: AttemptFailed) -> Action:
-        if self.state is AttemptState.ANSWERED:
+        if self.state is AttemptState.FORWARDED:
             return self._end(Abort())
-        if event.ran is not Ran.NOT_RUN:
+        if event.ran is not Ran.NOT_RUN or self.state is AttemptState.ANSWERED:
             self._maybe_ran = True
         retriable = event.error in RETRIABLE_ERRORS
         if event.error is Overloaded:
@@ -424,23 +430,27 @@
     def _handle_stream_lost(self, now: float, event: StreamLost) -> Action:
         if self.ended or event.attempt != self.attempt or self._retry_at is not None:
             return Wait()
-        if self.state is AttemptState.ANSWERED:
+        return self._handle_loss(now, StreamClosed)
+
+    def _handle_loss(self, now: float, error: type[MonsoonlugError]) -> Action:
+        """Handles the loss of the response, or of the request on its way."""
+        if self.state is AttemptState.FORWARDED:
             return self._end(Abort())
-        if self.state is AttemptState.MAYBE_SENT:
+        if self.state is not AttemptState.NOT_SENT:
             self._maybe_ran = True
         if self._is_safe_to_repeat():
             retry = self._retry(now, 0.0, is_rerouted=False)
             if retry is not None:
                 return retry
-        return self._refuse(StreamClosed, None)
+        return self._refuse(error, None)
 
     def _handle_timer(self, now: float) -> Action:
         if self.ended:
             return Wait()
         if now >= self._deadline:
-            if self.state is AttemptState.ANSWERED:
+            if self.state is AttemptState.FORWARDED:
                 return self._end(Abort())
-            if self.state is AttemptState.MAYBE_SENT:
+            if self.state is not AttemptState.NOT_SENT:
                 self._maybe_ran = True
             return self._refuse(DeadlineExceeded, None)
         if self._retry_at is None or now < self._retry_at:
@@ -467,6 +477,8 @@
             return None
         self.attempt += 1
         self.state = AttemptState.NOT_SENT
+        self._received = 0
+        self._length = None
         self._retry_at = at
         return Retry(attempt=self.attempt, at=at)
 
--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -299,7 +299,7 @@
 
 
 class AnswerCutOff(MonsoonlugError):
-    """The answer was lost after its head had come from the gate."""
+    """The answer was lost after a part of it had been sent to the caller."""
 
     code = "answer-cut-off"
     status = 502
--- a/src/monsoonlug/frontend.py
+++ b/src/monsoonlug/frontend.py
@@ -31,7 +31,11 @@
 from monsoonlug.hotspots import HotSpots
 from monsoonlug.ids import HostId, Ran, RequestId
 from monsoonlug.logs import get_logger
-from monsoonlug.refusals import build_error_response, close_if_body_unread
+from monsoonlug.refusals import (
+    abort_connection,
+    build_error_response,
+    close_if_body_unread,
+)
 from monsoonlug.slices import find_slice, hash_key
 from monsoonlug.token_queue import STALE_VIEW_RETRY_AFTER, TokenQueue
 from monsoonlug.view import View
@@ -138,7 +142,7 @@
             logger.bind(request=request_id).warning(
                 "Backend response was cut off; closing the caller's connection."
             )
-            request.transport.abort()
+            abort_connection(request)
             raise asyncio.CancelledError from None
         except MonsoonlugError as error:
             outcome = _classify_error(error)
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -42,7 +42,11 @@
 from monsoonlug.logs import get_logger
 from monsoonlug.lookup import BodyLimits, ItemIndex, ServedRoute
 from monsoonlug.rates import list_limits
-from monsoonlug.refusals import build_error_response, close_if_body_unread
+from monsoonlug.refusals import (
+    abort_connection,
+    build_error_response,
+    close_if_body_unread,
+)
 from monsoonlug.subscription import Subscription
 
 TOKEN_POLL_INTERVAL = 0.050  # seconds, while the leader does not respond
@@ -213,12 +217,11 @@
             ).info("Request answered.")
             return response
         except AnswerCutOff:
-            # Aborting the connection tells the caller that the response is incomplete.
             outcome = "cut-off"
             self._bind_logger(request_id, started, context, delivery).info(
                 "Response cut off."
             )
-            request.transport.abort()
+            abort_connection(request)
             raise asyncio.CancelledError from None
         except MonsoonlugError as error:
             outcome = error.code
@@ -230,6 +233,9 @@
             raise
         except Exception:
             logger.bind(request=request_id).exception("Request failed.")
+            if delivery is not None and delivery.has_started:
+                abort_connection(request)
+                raise asyncio.CancelledError from None
             error = InternalError()
             return self._refuse(request, request_id, error, started, context, delivery)
         finally:
--- a/src/monsoonlug/refusals.py
+++ b/src/monsoonlug/refusals.py
@@ -1,4 +1,4 @@
-"""Builds the HTTP error responses for requests that the router refuses."""
+"""HTTP responses to requests that the router refuses, and ends of cut responses."""
 
 from aiohttp import web
 
@@ -29,3 +29,9 @@
     """
     if request.body_exists and not request.content.is_eof():
         response.force_close()
+
+
+def abort_connection(request: web.BaseRequest) -> None:
+    """Closes the caller's connection, as the response on it is incomplete."""
+    if request.transport is not None:
+        request.transport.abort()
