Remember who may hold the keys of a dropped table

Dropping a pool, or making it one without keys, drops its key table, the only record of who was granted which keys. The table that came back had no owners, and ranges without an owner were assigned at once, though the servers held them under leases of up to 4 s.

Every replica now keeps the ranges of a dropped table until the longest lease has ended. It sees each drop as it applies the log, so a new leader knows them, too. Ranges that were never assigned in the present table go back to the process that may still hold them; the others are assigned as before. As all assignments of ranges without an owner pass this check, no lease is overlooked, whoever leads.

The tests of the registrar now commit the first configuration in the term of their leader, as happens in a group; before, it was there when the leader started.

--- a/src/monsoonlug/items.py
+++ b/src/monsoonlug/items.py
@@ -168,6 +168,12 @@
             if item_kind is kind:
                 yield item
 
+    def iterate_names(self, kind: ItemKind) -> Iterator[str]:
+        """Yields the names of the items of a kind, with those of removed items."""
+        for item_kind, name in (*self._items, *self._removed):
+            if item_kind is kind:
+                yield name
+
     def list_changes(self) -> list[Item | ItemRemoved]:
         """Returns the changes that build this table from an empty one."""
         changes: list[Item | ItemRemoved] = list(self._items.values())
--- a/src/monsoonlug/leases.py
+++ b/src/monsoonlug/leases.py
@@ -7,10 +7,15 @@
 that the heartbeat was sent after the server's last answer from an earlier leader.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import KeyTableChanged
 from monsoonlug.heartbeats import LEASE_TIME, ServerHeartbeat
+from monsoonlug.ids import PoolId
+from monsoonlug.items import ItemKind
 from monsoonlug.keyranges import KeyRange, KeyTable
 
 MAX_CLOCK_DRIFT = 1.02  # factor by which a server's clock may run slow
@@ -108,3 +113,85 @@
             rows.append((start, end))
         for part in key_range.subtract(rows):
             yield replace(part, handover="")
+
+
+class FormerOwners:
+    """Owners of keys whose table was dropped; their leases outlive the table.
+
+    A pool that is removed, or is no longer routed by key, loses its table, and gets a
+    new one without owners when it is put back. Each replica remembers the old table
+    until its leases have ended. A replica that starts from a snapshot does not know the
+    tables that were dropped before.
+    """
+
+    def __init__(self):
+        # The tables that may be dropped, as the view no longer has them then.
+        self._tables: dict[PoolId, KeyTable] = {}
+        self._ranges: dict[PoolId, list[KeyRange]] = {}
+        self._dropped_at: dict[PoolId, float] = {}
+        self._unknown_pools: set[PoolId] = set()
+        self._unknown_until = -math.inf
+
+    @classmethod
+    def from_snapshot(cls, now: float, view: FleetView) -> "FormerOwners":
+        """Returns what a replica knows that starts from a view.
+
+        Args:
+            now: Time in seconds.
+            view: The replicated view.
+        """
+        owners = cls()
+        owners._tables = dict(view.tables)
+        owners._unknown_until = now + LEASE_TIMEOUT
+        for name in view.items.iterate_names(ItemKind.POOL):
+            table = view.tables.get(PoolId(name))
+            if table is None or any(row.epoch == 0 for row in table.iterate()):
+                owners._unknown_pools.add(PoolId(name))
+        return owners
+
+    def record_change(
+        self, now: float, change: KeyTableChanged, view: FleetView
+    ) -> None:
+        """Records that the table of a pool was dropped, or created in the view."""
+        self._remove_expired(now)
+        table = self._tables.pop(change.pool, None)
+        if change.present:
+            self._tables[change.pool] = view.tables[change.pool]
+            return
+        if table is None:
+            return
+        ranges: list[KeyRange] = []
+        for key_range in table.iterate():
+            # The table may be dropped again before its keys were assigned.
+            ranges += self._find_parts(change.pool, key_range)
+        self._ranges[change.pool] = ranges
+        self._dropped_at[change.pool] = now
+
+    def find_parts(
+        self, now: float, pool: PoolId, key_range: KeyRange
+    ) -> list[KeyRange]:
+        """Returns the parts of a range without an owner, with their former owners.
+
+        Returns an empty list while a server that this replica does not know may hold
+        the range.
+        """
+        if key_range.epoch > 0:
+            return [key_range]
+        if pool in self._unknown_pools and now <= self._unknown_until:
+            return []
+        self._remove_expired(now)
+        return self._find_parts(pool, key_range)
+
+    def _find_parts(self, pool: PoolId, key_range: KeyRange) -> list[KeyRange]:
+        if key_range.epoch > 0 or pool not in self._ranges:
+            return [key_range]
+        return [
+            former.cut(key_range.start, key_range.end)
+            for former in self._ranges[pool]
+            if former.overlaps(key_range.start, key_range.end)
+        ]
+
+    def _remove_expired(self, now: float) -> None:
+        for pool, dropped_at in list(self._dropped_at.items()):
+            if now > dropped_at + LEASE_TIMEOUT:
+                del self._dropped_at[pool], self._ranges[pool]
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -22,6 +22,7 @@
 from monsoonlug.exceptions import NotLeader
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import (
+    ChangeItems,
     FleetDelta,
     FleetHeartbeat,
     FleetHeartbeatResponse,
@@ -30,6 +31,7 @@
     FleetViewChunk,
     KeyStatus,
     KeyStatusBatch,
+    KeyTableChanged,
     LiveHostList,
     RequestStateChanged,
     ServerNotice,
@@ -38,6 +40,7 @@
 )
 from monsoonlug.ids import Fingerprint, HostId, PoolId, ServerId, WorkspaceId
 from monsoonlug.items import Item
+from monsoonlug.leases import FormerOwners
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import Redirect
 from monsoonlug.rates import GlobalRateLimiter, list_limits
@@ -77,6 +80,7 @@
     def __init__(self, *, clock: Callable[[], float], server_heartbeat_interval: float):
         super().__init__(clock=clock, max_unsent_bytes=MAX_UNSENT_BYTES)
         self.registrar: Registrar | None = None
+        self._former_owners = FormerOwners()
         self._rate_limiter: GlobalRateLimiter | None = None
         self._crash_tracker = CrashTracker()
         self._server_heartbeat_interval = server_heartbeat_interval
@@ -169,7 +173,10 @@
             view = self._view
             self._confirmed_since = now
             self.registrar = Registrar(
-                now=now, view=view, heartbeat_interval=self._server_heartbeat_interval
+                now=now,
+                view=view,
+                heartbeat_interval=self._server_heartbeat_interval,
+                former_owners=self._former_owners,
             )
             self._rate_limiter = GlobalRateLimiter(now=now)
             self._rate_limiter.configure(now, list_limits(view.items))
@@ -183,8 +190,12 @@
 
     def handle_applied(self, command: object, delta: FleetDelta | None) -> None:
         """Sends the delta of a committed command to the entries."""
+        packed = delta.changes if delta is not None else []
+        if isinstance(command, ChangeItems):
+            for change in map(messages.decode, packed):
+                if isinstance(change, KeyTableChanged):
+                    self._former_owners.record_change(self._clock(), change, self._view)
         if self.registrar is not None:
-            packed = delta.changes if delta is not None else []
             changes = [messages.decode(change) for change in packed]
             self.registrar.apply_committed(self._clock(), command, changes)
             if any(isinstance(change, Item) for change in changes):
@@ -241,6 +252,7 @@
     def handle_restored(self) -> None:
         """Drops the kept deltas after the whole state was replaced."""
         self._deltas.clear()
+        self._former_owners = FormerOwners.from_snapshot(self._clock(), self._view)
         for subscriber in self._subscribers:
             subscriber.sent_revision = None
 
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -28,6 +28,7 @@
     FleetServer,
     KeysAssigned,
     KeyStatus,
+    KeyTableChanged,
     PutServer,
     RemoveServer,
     ServerCold,
@@ -38,10 +39,10 @@
     read_range,
 )
 from monsoonlug.heartbeats import LeaseGrant, ServerHeartbeat
-from monsoonlug.ids import Epoch, FailureDomain, PoolId, ServerId
+from monsoonlug.ids import SLICE_COUNT, Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.items import ItemKind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
-from monsoonlug.leases import LEASE_TIMEOUT, ServerLease
+from monsoonlug.leases import LEASE_TIMEOUT, FormerOwners, ServerLease
 from monsoonlug.logs import get_logger
 from monsoonlug.releases import Release, find_release
 from monsoonlug.request_limits import FleetLimits
@@ -141,12 +142,20 @@
         now: Time of the election, in seconds.
         view: The replicated view, which is only read here.
         heartbeat_interval: Seconds between two heartbeats of a server.
+        former_owners: Owners of keys whose table was dropped; updated by the caller.
 
     Attributes:
         limits: Request limits of the servers, as the entries report them.
     """
 
-    def __init__(self, *, now: float, view: FleetView, heartbeat_interval: float):
+    def __init__(
+        self,
+        *,
+        now: float,
+        view: FleetView,
+        heartbeat_interval: float,
+        former_owners: FormerOwners,
+    ):
         self._view = view
         self._heartbeat_interval = heartbeat_interval
         self._processes: dict[ServerId, _Process] = {}
@@ -159,6 +168,7 @@
         self._notices: list[object] = []
         self.limits = FleetLimits()
         self._first_epoch = view.revision
+        self._former_owners = former_owners
         for record in view.servers.values():
             # The previous leader may have renewed every lease just before it lost its
             # role.
@@ -333,6 +343,8 @@
         elif isinstance(command, RemoveServer):
             self._proposed_removals.discard((command.server, command.born))
         for change in changes:
+            if isinstance(change, KeyTableChanged):
+                self._get_plan(change.pool).releases = []
             if not isinstance(change, KeysAssigned) or covers_all_keys(change):
                 continue
             plan = self._get_plan(change.pool)
@@ -573,16 +585,17 @@
         plan: _PoolPlan,
         candidates: dict[ServerId, ServerLoad],
     ) -> Iterator[FleetCommand]:
-        unowned = [
-            key_range
-            for key_range in table.iterate()
-            if self._is_assignable(now, key_range)
-            and not self._is_proposed(pool, key_range)
-        ]
+        unowned: list[KeyRange] = []
+        for key_range in table.iterate():
+            if not self._is_assignable(now, key_range):
+                continue
+            if self._is_proposed(pool, key_range):
+                continue
+            unowned += self._former_owners.find_parts(now, pool, key_range)
         if not unowned or not candidates:
             return
         rows = []
-        if len(table) == 1 and table.find(0).epoch == 0:
+        if len(unowned) == 1 and unowned[0].size == SLICE_COUNT:
             if now - plan.last_joined_at < INITIAL_ASSIGNMENT_DELAY:
                 return
             for start, end, owner in plan_initial_ranges(
@@ -591,14 +604,19 @@
                 rows.append(self._build_range(start, end, owner, ""))
         else:
             for key_range in unowned:
-                rows.append(self._assign_range(key_range, plan, candidates))
+                if self._is_assignable(now, key_range):
+                    rows.append(self._assign_range(key_range, plan, candidates))
+                else:
+                    # A former owner may still hold the keys, and keeps them.
+                    rows.append(replace(key_range, handover=""))
         yield self._build_assignment(pool, rows)
 
     def _is_assignable(self, now: float, key_range: KeyRange) -> bool:
         if key_range.owner == NO_OWNER:
             return True
         process = self._processes.get(key_range.owner)
-        if process is None:
+        # Two processes of a server never run at the same time.
+        if process is None or process.born != key_range.born:
             return True
         return self._is_silent(now, process) and now > process.lease.expires_at
 
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -12,11 +12,12 @@
 
 from monsoonlug import messages
 from monsoonlug.fleet import FleetState
-from monsoonlug.fleet_messages import ChangeItems, DomainChanged
+from monsoonlug.fleet_messages import ChangeItems, DomainChanged, KeyTableChanged
 from monsoonlug.heartbeats import LEASE_TIME, ServerHeartbeat
 from monsoonlug.ids import SLICE_COUNT
 from monsoonlug.items import ItemKind, ItemRemoved
 from monsoonlug.keyranges import KeyRange
+from monsoonlug.leases import FormerOwners
 from monsoonlug.registrar import Registrar
 from tests.test_items import build_pool, build_route
 
@@ -37,6 +38,7 @@
     Attributes:
         late_share: Share of the heartbeats that arrive late.
         late_release_share: The same of those that report released keys.
+        snapshot_share: Share of the new leaders that started from a snapshot.
     """
 
     late_share: float = 0.0
@@ -46,6 +48,7 @@
     restarts: float = 0.0
     partitions: float = 0.0
     service_changes: float = 0.0
+    snapshot_share: float = 0.0
     max_commit_delay: float = 0.005
 
 
@@ -106,6 +109,7 @@
         self.disruptions = Disruptions()
         self.now = 0.0
         self.state = FleetState()
+        self.former_owners = FormerOwners()
         self.index = 0
         self.version = 1
         self.registrar = None
@@ -172,10 +176,14 @@
 
     def elect(self):
         self.term += 1
+        if self.random.random() < self.disruptions.snapshot_share:
+            self.former_owners = FormerOwners.from_snapshot(self.now, self.state.view)
+            self.note("the next leader started from a snapshot")
         self.registrar = Registrar(
             now=self.now,
             view=self.state.view,
             heartbeat_interval=HEARTBEAT_INTERVAL,
+            former_owners=self.former_owners,
         )
         self.note(f"term {self.term} begins")
         late, self.late = self.late, []
@@ -218,9 +226,12 @@
     def apply(self, command):
         self.index += 1
         _, delta = self.state.apply(self.index, command)
+        changes = [messages.decode(item) for item in delta.changes] if delta else []
+        for change in changes:
+            if isinstance(change, KeyTableChanged):
+                self.former_owners.record_change(self.now, change, self.state.view)
         if self.registrar is None:
             return
-        changes = [messages.decode(item) for item in delta.changes] if delta else []
         self.registrar.apply_committed(self.now, command, changes)
 
     def decide(self):
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -26,6 +26,7 @@
 )
 from monsoonlug.gatehost import ClosingTimes, GateHost
 from monsoonlug.keyranges import KeyRange
+from monsoonlug.leases import FormerOwners
 from monsoonlug.limits import Limit
 from monsoonlug.messages import RequestHead
 from monsoonlug.publisher import Publisher
@@ -112,7 +113,12 @@
         state=SimpleNamespace(view=view),
         propose_all=lambda commands: None,
     )
-    publisher.registrar = Registrar(now=0.0, view=view, heartbeat_interval=0.9)
+    publisher.registrar = Registrar(
+        now=0.0,
+        view=view,
+        heartbeat_interval=0.9,
+        former_owners=FormerOwners(),
+    )
     publisher._rate_limiter = GlobalRateLimiter(now=0.0)
     publisher._rate_limiter.configure(0.0, {"w": Limit(rate=100, burst=100)})
     publisher.read_index_queue = SimpleNamespace(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -48,3 +48,29 @@
         restarts=0.1,
         max_commit_delay=0.8,
     )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_service_that_is_put_back_gets_no_second_owners(seed):
+    """Guards against new owners while leases of a dropped key table still run.
+
+    The service is dropped, or is not routed by key for a while, and put back.
+    """
+    play(seed, service_changes=0.3, domain_changes=0.2, restarts=0.1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_new_leaders_know_the_leases_of_a_dropped_table(seed):
+    """Guards against a leader that does not know who held the keys of a dropped table.
+
+    Some leaders started from a snapshot that was taken after the drop.
+    """
+    play(
+        seed,
+        service_changes=0.3,
+        leader_changes=0.3,
+        snapshot_share=0.3,
+        late_share=0.05,
+        partitions=0.1,
+        max_commit_delay=0.3,
+    )
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -1,14 +1,19 @@
 import pytest
 
+from monsoonlug import messages
 from monsoonlug.fleet_messages import (
+    ChangeItems,
     DomainChanged,
     KeyStatus,
+    KeyTableChanged,
     ServerCold,
     ServerLimited,
     ServerNotice,
 )
 from monsoonlug.heartbeats import ServerHeartbeat
+from monsoonlug.items import ItemKind, ItemRemoved
 from monsoonlug.keyranges import LAST_KEY
+from monsoonlug.leases import FormerOwners
 from monsoonlug.registrar import (
     INITIAL_ASSIGNMENT_DELAY,
     LEASE_TIMEOUT,
@@ -29,15 +34,23 @@
 
     def __init__(self, *, fleet=None):
         self.fleet = fleet or Fleet()
-        if fleet is None:
-            self.fleet.apply(change(build_pool(), build_route()))
         self.now = 100.0
         self.sequence = 0
+        self.former_owners = FormerOwners()
         self.elect()
+        if fleet is None:
+            self.commit([change(build_pool(), build_route())])
 
-    def elect(self):
+    def elect(self, *, from_snapshot=False):
+        """Starts a term of this replica, or of one that starts from a snapshot."""
+        view = self.fleet.state.view
+        if from_snapshot:
+            self.former_owners = FormerOwners.from_snapshot(self.now, view)
         self.registrar = Registrar(
-            now=self.now, view=self.fleet.state.view, heartbeat_interval=PERIOD
+            now=self.now,
+            view=view,
+            heartbeat_interval=PERIOD,
+            former_owners=self.former_owners,
         )
 
     def commit(self, commands):
@@ -50,6 +63,11 @@
                 assert self.fleet.state.view.revision == before
             else:
                 changes = self.fleet.view.apply(delta)
+            for item in changes:
+                if isinstance(item, KeyTableChanged):
+                    self.former_owners.record_change(
+                        self.now, item, self.fleet.state.view
+                    )
             self.registrar.apply_committed(self.now, command, changes)
 
     def run_timer(self):
@@ -243,6 +261,98 @@
     assert leader.count_keys("s1") == 0
 
 
+def drop_service(leader, version):
+    removals = [
+        ItemRemoved(kind=ItemKind.ROUTE, name="lookup", version=version),
+        ItemRemoved(kind=ItemKind.POOL, name="desk", version=version),
+    ]
+    changes = [messages.encode(item) for item in removals]
+    leader.commit([ChangeItems(changes=changes, sources=["", ""])])
+
+
+def put_service_back(leader, version):
+    leader.commit([change(build_pool(version=version), build_route(version=version))])
+
+
+def list_owners(leader):
+    table = leader.fleet.state.view.tables["desk"]
+    return [(row.start, row.end, row.owner) for row in table.iterate()]
+
+
+@pytest.mark.parametrize("drops", [1, 2])
+def test_service_that_is_put_back_leaves_its_keys_where_they_are(leader, drops):
+    """Guards against new owners while the leases of the old ones still run."""
+    for server in ("s1", "s2"):
+        leader.send_heartbeat(server)
+    before = list_owners(leader)
+    epoch = max(row.epoch for row in leader.fleet.state.view.tables["desk"].iterate())
+    for number in range(drops):
+        drop_service(leader, 2 + 2 * number)
+        leader.now += 0.4
+        put_service_back(leader, 3 + 2 * number)
+    leader.run_timer()
+    assert list_owners(leader) == before
+    rows = leader.fleet.state.view.tables["desk"].iterate()
+    assert min(row.epoch for row in rows) > epoch
+    assert leader.send_heartbeat("s1")
+
+
+def test_service_without_keys_for_a_while_leaves_them_where_they_are(leader):
+    """Guards against the same fault on the path that keeps the pool."""
+    leader.send_heartbeat("s1")
+    before = list_owners(leader)
+    pool = build_pool(version=2, keyed=False)
+    leader.commit([change(pool, build_route(version=2))])
+    assert "desk" not in leader.fleet.state.view.tables
+    leader.now += 1.0
+    put_service_back(leader, 3)
+    leader.run_timer()
+    assert list_owners(leader) == before
+
+
+def test_keys_of_an_ended_server_are_not_kept_for_it(leader):
+    """Guards against keys that wait for a server which ended without its table."""
+    leader.send_heartbeat("s2")
+    drop_service(leader, 2)
+    leader.now += 0.2
+    put_service_back(leader, 3)
+    leader.send_heartbeat("s1", born=9)
+    leader.run_timer()
+    assert leader.count_keys("s1") + leader.count_keys("s2") == LAST_KEY + 1
+    table = leader.fleet.state.view.tables["desk"]
+    assert {row.born for row in table.iterate() if row.owner == "s1"} <= {9}
+
+
+def test_new_leader_leaves_the_keys_of_a_dropped_service_where_they_are(leader):
+    """Guards against a leader that forgets what it applied as a follower."""
+    for server in ("s1", "s2"):
+        leader.send_heartbeat(server)
+    before = list_owners(leader)
+    drop_service(leader, 2)
+    leader.elect()
+    put_service_back(leader, 3)
+    for server in ("s1", "s2"):
+        leader.send_heartbeat(server)
+    leader.run_timer()
+    assert list_owners(leader) == before
+
+
+def test_leader_that_starts_from_a_snapshot_waits_for_all_leases(leader):
+    """Guards against the assignment of keys that unknown servers may hold."""
+    drop_service(leader, 2)
+    leader.elect(from_snapshot=True)
+    elected_at = leader.now
+    put_service_back(leader, 3)
+    while leader.now < elected_at + LEASE_TIMEOUT:
+        for server in ("s1", "s2"):
+            leader.send_heartbeat(server)
+        leader.run_timer()
+        assert len(list_owners(leader)) == 1
+        leader.now += 0.25
+    leader.run_timer()
+    assert leader.count_keys("s1") + leader.count_keys("s2") == LAST_KEY + 1
+
+
 def test_leaving_server_never_gets_its_keys_back(leader):
     """Guards against keys that stay with a draining server."""
     leader.send_heartbeat("s1", draining=True)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -12,6 +12,7 @@
 from monsoonlug.fleet_messages import FleetHeartbeat, FleetServer, ServerLimited
 from monsoonlug.gatehost import ClosingTimes, GateHost, build_gate_id
 from monsoonlug.items import ItemKind, PoolItem
+from monsoonlug.leases import FormerOwners
 from monsoonlug.messages import RequestHead
 from monsoonlug.platform.headers import open_backend
 from monsoonlug.registrar import Registrar
@@ -203,7 +204,12 @@
     server = await asyncio.start_server(limiting.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     gate_hosts = {name: build_gate_host(port) for name in ("h1", "h2")}
-    registrar = Registrar(now=read_clock(), view=FleetView(), heartbeat_interval=0.9)
+    registrar = Registrar(
+        now=read_clock(),
+        view=FleetView(),
+        heartbeat_interval=0.9,
+        former_owners=FormerOwners(),
+    )
     exchange = asyncio.create_task(exchange_limits(registrar, gate_hosts))
     started_at = read_clock()
     try:
