Reset connections of HTTP/1.0 callers whose response is incomplete

Reported from other systems: a cut answer that callers take for a whole one. But a caller of HTTP/1.0 gets an answer in chunks without a length, and the entry closed its connection normally when the server broke off, so the body looked whole. The connection is now reset, the only end that differs from that of a body there.

--- a/src/monsoonlug/refusals.py
+++ b/src/monsoonlug/refusals.py
@@ -1,10 +1,15 @@
 """HTTP responses to requests that the router refuses, and ends of cut responses."""
 
-from aiohttp import web
+import socket
+import struct
+
+from aiohttp import HttpVersion11, web
 
 from monsoonlug.exceptions import MonsoonlugError
 from monsoonlug.ids import RequestId
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0
+
 
 def build_error_response(request_id: RequestId, error: MonsoonlugError) -> web.Response:
     """Returns a response with the error's code and whether the request ran."""
@@ -33,5 +38,11 @@
 
 def abort_connection(request: web.BaseRequest) -> None:
     """Closes the caller's connection, as the response on it is incomplete."""
-    if request.transport is not None:
-        request.transport.abort()
+    transport = request.transport
+    if transport is None:
+        return
+    if request.version < HttpVersion11:
+        # Without chunks, only a reset differs from the end of the body.
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -143,6 +143,8 @@
         contacts: Each request as a `Contact`.
         rest: Seconds of rest that it asks for with each request that it turns away; 0
             while it accepts requests.
+        raw_answer: Bytes that it sends in place of each answer, with ID for the id of
+            the request, before it closes the connection; or None.
         crashes: Times of the crashes.
     """
 
@@ -163,6 +165,7 @@
         self.crashes = []
         self.extra_headers = {}
         self.rest = 0.0
+        self.raw_answer = None
         self._writers = set()
         self._tasks = set()
 
@@ -303,6 +306,12 @@
             self._spawn(self.crash())
             return False
         await asyncio.sleep(self.service_time)
+        if self.raw_answer is not None:
+            writer.write(self.raw_answer.replace(b"ID", request_id.encode()))
+            await writer.drain()
+            # The router reads what was sent before the connection ends.
+            await asyncio.sleep(self.service_time)
+            return False
         lines = [
             "HTTP/1.1 200 OK",
             f"X-Monsoonlug-Request-Id: {request_id}",
