Reject heartbeats with any value that cannot be stored or passed on

Reported from other systems: an odd entry among the servers ended the machines that read it. Tried here with odd values in each field of a heartbeat. No process ended, but control answered 500 to deep nesting, numbers above 64 bits and lone surrogates, and accepted ports out of range, addresses that are none, ids that are no header value, endless warm-up times and handovers that make another server's answer too long. Entries failed on such addresses: a round of probes ended without results, and requests got 500, or 502 though nothing had been sent.

Unexpected errors of a call are logged and answered. A server's client checks its address once and fails requests as not sent, also for records that an older control stored. An epoch above all assigned ones no longer counts as one of this leader.

--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -41,7 +41,6 @@
     TrackedHandler,
 )
 from monsoonlug.ids import RequestId, ServerId
-from monsoonlug.settings import split_address
 
 CONNECT_TIMEOUT = 1.0  # seconds
 # Share of the time until the deadline. A connect timeout before the deadline still
@@ -55,6 +54,8 @@
 MAX_REFUSAL_BODY = 4_096  # bytes read from a refusal to keep its connection open
 
 _SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_HOST = re.compile(r"[0-9A-Za-z.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]")
+_PORT = re.compile(r"[0-9]{1,5}")
 _KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
 _BODILESS_STATUSES = frozenset({204, 304})
 _OMITTED_DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -117,6 +118,7 @@
         self._max_idle_nonidempotent = max_idle_nonidempotent
         self.server = server
         self.address = address
+        self._host_and_port = _parse_address(address)
         self.mismatched_responses = 0
         self._clock = clock
         self._calls: dict[RequestId, _Call] = {}
@@ -174,7 +176,7 @@
             async with asyncio.timeout(remaining):
                 call.response = await self._session.request(
                     request.method,
-                    URL(f"http://{self.address}{request.target}", encoded=True),
+                    self._build_url(request.target),
                     headers=headers,
                     data=None if body is None else _check_body_length(request, body),
                     allow_redirects=False,
@@ -198,8 +200,7 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT):
                 response = await self._session.get(
-                    URL(f"http://{self.address}{path}", encoded=True),
-                    allow_redirects=False,
+                    self._build_url(path), allow_redirects=False
                 )
                 self.read_server_state(response)
                 slowdown = self.read_slowdown(response)
@@ -211,10 +212,11 @@
 
     async def try_connect(self, timeout: float) -> ConnectResult:
         """Opens and closes a connection; see `BackendProtocol.try_connect`."""
-        host, port = split_address(self.address)
+        if self._host_and_port is None:
+            return ConnectResult.NO_ANSWER
         try:
             async with asyncio.timeout(timeout):
-                _, writer = await asyncio.open_connection(host, port)
+                _, writer = await asyncio.open_connection(*self._host_and_port)
         except ConnectionRefusedError:
             return ConnectResult.REFUSED
         except OSError:  # includes the timeout
@@ -222,6 +224,11 @@
         writer.close()
         return ConnectResult.ACCEPTED
 
+    def _build_url(self, target: str) -> URL:
+        if self._host_and_port is None:
+            raise ConnectFailed(f"the address {self.address[:50]!r} cannot be used")
+        return URL(f"http://{self.address}{target}", encoded=True)
+
     def read_slowdown(self, response: aiohttp.ClientResponse) -> float | None:
         """Returns the slowdown that a response reports, or None if it reports none."""
         return None
@@ -419,6 +426,18 @@
         self.backend._remove_call(self.request.request, self.call)
 
 
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Returns host and port, or None if no connection to the address is possible.
+
+    A record of a server may have come from another version of control, which checked
+    less.
+    """
+    host, _, port = address.rpartition(":")
+    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port):
+        return None
+    return (host.strip("[]"), int(port)) if 0 < int(port) < 65_536 else None
+
+
 def _is_close_delimited(response: aiohttp.ClientResponse) -> bool:
     headers = response.headers
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
@@ -435,7 +454,7 @@
         if isinstance(error.os_error, ConnectionRefusedError):
             raise ProcessGone() from None
         raise ConnectFailed() from None
-    except aiohttp.ConnectionTimeoutError:
+    except (aiohttp.ConnectionTimeoutError, aiohttp.InvalidURL):
         raise ConnectFailed() from None
     except (aiohttp.ClientError, OSError) as error:
         if isinstance(error, TimeoutError) and not isinstance(
--- a/src/monsoonlug/leases.py
+++ b/src/monsoonlug/leases.py
@@ -51,8 +51,16 @@
     handovers: list[tuple[int, int, str]] = field(default_factory=list)
     withheld: list[KeyRange] = field(default_factory=list)
 
-    def record_heartbeat(self, now: float, heartbeat: ServerHeartbeat) -> None:
-        """Records a heartbeat that is not outdated."""
+    def record_heartbeat(
+        self, now: float, heartbeat: ServerHeartbeat, last_epoch: int
+    ) -> None:
+        """Records a heartbeat that is not outdated.
+
+        Args:
+            now: Time in seconds.
+            heartbeat: The heartbeat.
+            last_epoch: No range has been assigned with a higher epoch.
+        """
         self.sequence = heartbeat.sequence
         self.held = frozenset(heartbeat.held)
         known = [row for row in self.handovers if row not in heartbeat.freed]
@@ -62,7 +70,9 @@
         self.is_trusted = (
             self.is_trusted
             or now >= self.trusted_at
-            or any(epoch > self.first_epoch for _, _, epoch in heartbeat.held)
+            or any(
+                self.first_epoch < epoch <= last_epoch for _, _, epoch in heartbeat.held
+            )
         )
 
     def record_answer(
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -3,7 +3,9 @@
 Error messages quote only numbers and durations, as any other value may be an API key.
 """
 
+import ipaddress
 import json
+import re
 
 from monsoonlug.catalogue import digest_key
 from monsoonlug.exceptions import BadRequest
@@ -21,6 +23,7 @@
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.platform.fields import (
     JSON_TYPE_NAMES,
+    MAX_COUNT,
     format_seconds,
     read_count,
     read_field,
@@ -38,6 +41,13 @@
 }
 _IDEMPOTENT_BY_TYPE = {"safe": True, "unsafe": False}
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
+MAX_HEARTBEAT_BYTES = 262_144
+MAX_SLOTS = 65_536  # of one server
+MAX_COLD_SECONDS = 86_400.0
+# Text of a server that goes into headers, or into answers of at most 4 KiB.
+_SERVER_NAME = re.compile(r"[!-~]{1,100}")
+_HANDOVER = re.compile(r"[!-~]{0,64}")
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 def read_heartbeat(server: str, body: bytes) -> ServerHeartbeat:
@@ -46,6 +56,9 @@
     Raises:
         BadRequest: If a field is missing, of another type or has an unknown value.
     """
+    name = read_server_name(server)
+    if len(body) > MAX_HEARTBEAT_BYTES:
+        raise BadRequest(f"the body is longer than {MAX_HEARTBEAT_BYTES} bytes")
     document = read_object(body)
     state = read_text(document, "state")
     if state not in _DRAINING_BY_STATE:
@@ -55,13 +68,13 @@
     address = read_text(document, "address")
     _check_address(address)
     return ServerHeartbeat(
-        server=ServerId(server),
+        server=name,
         born=_read_born(document),
         sequence=read_count(document, "sequence"),
         pool=PoolId(read_text(document, "service")),
         address=address,
         failure_domain=FailureDomain(read_text(document, "zone")),
-        slots=read_count(document, "capacity", minimum=1),
+        slots=read_count(document, "capacity", minimum=1, maximum=MAX_SLOTS),
         draining=_DRAINING_BY_STATE[state],
         cold_seconds=_read_cold_seconds(document),
         held=_read_held_ranges(document),
@@ -69,6 +82,19 @@
     )
 
 
+def read_server_name(text: str) -> ServerId:
+    """Checks the id of a server, which is sent to it in a header.
+
+    Raises:
+        BadRequest: If it cannot be the value of a header.
+    """
+    if not _SERVER_NAME.fullmatch(text):
+        raise BadRequest(
+            "the id of the server is not 1 to 100 visible ASCII characters"
+        )
+    return ServerId(text)
+
+
 def build_heartbeat_answer(answer: LeaseGrant | None, url: str) -> bytes:
     """Builds the response body for a heartbeat."""
     document: dict = {"heartbeatUrl": url} if url else {}
@@ -121,7 +147,7 @@
 def _read_cold_seconds(document: dict) -> float:
     if "warmupLeft" not in document:
         return 0.0
-    return read_seconds(document, "warmupLeft")
+    return min(read_seconds(document, "warmupLeft"), MAX_COLD_SECONDS)
 
 
 def _read_ranges(document: dict, name: str, value_type: type) -> tuple:
@@ -145,17 +171,31 @@
 
 
 def _read_held_ranges(document: dict) -> tuple[tuple[int, int, int], ...]:
-    return _read_ranges(document, "holds", int)
+    rows = _read_ranges(document, "holds", int)
+    if not all(0 <= epoch <= MAX_COUNT for _, _, epoch in rows):
+        raise BadRequest(f"an epoch in the field holds is not in 0 to {MAX_COUNT}")
+    return rows
 
 
 def _read_freed_ranges(document: dict) -> tuple[tuple[int, int, str], ...]:
-    return _read_ranges(document, "freed", str)
+    rows = _read_ranges(document, "freed", str)
+    if not all(_HANDOVER.fullmatch(handover) for _, _, handover in rows):
+        raise BadRequest(
+            "a handover in the field freed is not at most 64 visible ASCII characters"
+        )
+    return rows
 
 
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise BadRequest("the field address is not of the form host:port")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise BadRequest(
+            "the field address does not begin with an IPv4 address"
+        ) from None
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65_536:
+        raise BadRequest("the field address does not end with a port from 1 to 65535")
 
 
 def _read_item(entry: object) -> Item:
--- a/src/monsoonlug/platform/fields.py
+++ b/src/monsoonlug/platform/fields.py
@@ -13,7 +13,8 @@
     list: "array",
     str: "string",
 }
-_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+MAX_COUNT = 2**53  # larger integers are not exact in every reader of JSON
+_DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)")
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 
 
@@ -25,7 +26,8 @@
     """
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
+        # The parser gives up on deeply nested values.
         raise BadRequest("the body is not valid JSON") from None
     if not isinstance(document, dict):
         raise BadRequest("the body is not a JSON object")
@@ -51,23 +53,30 @@
     """Returns a string field that must not be empty.
 
     Raises:
-        BadRequest: If the field is missing, empty or not a string.
+        BadRequest: If the field is missing, empty, not a string or not Unicode text.
     """
     value = read_field(document, name, str)
     if not value:
         raise BadRequest(f"the field {name} is empty")
+    # A surrogate that stands alone cannot be encoded again.
+    if any("\ud800" <= character <= "\udfff" for character in value):
+        raise BadRequest(f"the field {name} is not Unicode text")
     return value
 
 
-def read_count(document: Mapping, name: str, *, minimum: int = 0) -> int:
-    """Returns an integer field that is at least `minimum`.
+def read_count(
+    document: Mapping, name: str, *, minimum: int = 0, maximum: int = MAX_COUNT
+) -> int:
+    """Returns an integer field from `minimum` to `maximum`.
 
     Raises:
-        BadRequest: If the field is missing, too small or not an integer.
+        BadRequest: If the field is missing, out of range or not an integer.
     """
     value = read_field(document, name, int)
     if value < minimum:
         raise BadRequest(f"the field {name} is {value}; the minimum is {minimum}")
+    if value > maximum:
+        raise BadRequest(f"the field {name} is above the maximum of {maximum}")
     return value
 
 
--- a/src/monsoonlug/platform/interface.py
+++ b/src/monsoonlug/platform/interface.py
@@ -7,17 +7,19 @@
 from monsoonlug.exceptions import (
     BadRequest,
     ControlUnreachable,
+    InternalError,
     MonsoonlugError,
     NotLeader,
 )
 from monsoonlug.fleet_control import FleetControlService
-from monsoonlug.ids import FailureDomain, ServerId
+from monsoonlug.ids import FailureDomain
 from monsoonlug.logs import get_logger
 from monsoonlug.platform.documents import (
     build_heartbeat_answer,
     build_items,
     read_heartbeat,
     read_patch,
+    read_server_name,
 )
 from monsoonlug.settings import split_address
 
@@ -84,6 +86,13 @@
                     "Refused call {}: {} ({}).", request.path, error.code, error
                 )
                 return _build_error(error)
+            except web.HTTPException as error:
+                outcome = "refused"
+                raise error
+            except Exception:
+                outcome = InternalError.code
+                logger.exception("Call {} failed.", request.path)
+                return _build_error(InternalError())
             finally:
                 self._control.metrics.count_call(kind, outcome)
 
@@ -97,7 +106,7 @@
         return web.Response(body=body, content_type="application/json")
 
     async def _take_leave(self, request: web.Request) -> web.Response:
-        await self._control.handle_leave(ServerId(request.match_info["server"]))
+        await self._control.handle_leave(read_server_name(request.match_info["server"]))
         return web.json_response({})
 
     async def _change(self, request: web.Request) -> web.Response:
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -220,7 +220,7 @@
             plan.last_joined_at = now
             plan.candidates_at = -math.inf
         process.last_heartbeat_at = now
-        process.lease.record_heartbeat(now, heartbeat)
+        process.lease.record_heartbeat(now, heartbeat, self._view.revision)
         self._update_cold_state(now, heartbeat, process)
         commands: list[FleetCommand] = []
         updated = FleetServer(
