Answer callers whose requests are still running when the grace time ends

On the path beside lost streams: at a planned stop, a request whose server works beyond the grace time ended with the kill of the process, and its caller's connection closed without an answer. 0.15 s before that, the entry now answers callers to whom nothing was sent, 502 if the request was passed on and 503 if not. A response that has begun goes on.

Test: test_caller_of_a_stopping_entry_gets_an_answer failed before (no answer); the state machine of test_dispatch stops the host at any step.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -28,6 +28,7 @@
     Retry,
     Send,
     Sending,
+    Stopping,
     StreamLost,
     TimerFired,
     Wait,
@@ -136,6 +137,7 @@
         self._body_task: asyncio.Task | None = None
         self._response_head: ResponseHead | None = None
         self._response: web.StreamResponse | None = None
+        self._is_stopping = False
 
     async def run(self) -> web.StreamResponse:
         """Delivers the request and returns the response that was sent.
@@ -163,6 +165,14 @@
         """Whether a part of the response may have reached the caller."""
         return self._response is not None
 
+    def stop(self) -> None:
+        """Answers the caller now, unless a part of the response was sent."""
+        if self.has_started:
+            return
+        self._is_stopping = True
+        if self._exchange is not None:
+            self._exchange.handle_peer_loss()
+
     @property
     def _needs_record(self) -> bool:
         admitted = self._admitted
@@ -228,6 +238,8 @@
             except StreamClosed:
                 self._outcome = Outcome.LOST
                 event = StreamLost(attempt=self._attempts.attempt)
+                if self._is_stopping:
+                    event = Stopping()
             action = self._decide(event)
             if not isinstance(action, Forward):
                 continue
@@ -246,6 +258,8 @@
         return self._attempts.decide(self._context.clock(), event)
 
     async def _send(self, send: Send) -> Action:
+        if self._is_stopping:
+            return self._decide(Stopping())
         blocked_for = self._find_block()
         if blocked_for > 0:
             return self._fail_attempt(send.attempt, RequestBlocked, blocked_for)
--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -147,6 +147,11 @@
     """The caller closed its connection."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stopping:
+    """This host stops before the response can arrive."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TimerFired:
     """The time that `Attempts.wake_at` returned may have been reached."""
@@ -161,6 +166,7 @@
     | AttemptFailed
     | StreamLost
     | CallerDisconnected
+    | Stopping
     | TimerFired
 )
 
@@ -317,6 +323,8 @@
                 return self._handle_stream_lost(now, event)
             case CallerDisconnected():
                 return self._end(Abort())
+            case Stopping():
+                return self._handle_stop()
             case TimerFired():
                 return self._handle_timer(now)
 
@@ -444,6 +452,13 @@
                 return retry
         return self._refuse(error, None)
 
+    def _handle_stop(self) -> Action:
+        if self.ended or self.state is AttemptState.FORWARDED:
+            return Wait()
+        if self.state is not AttemptState.NOT_SENT:
+            self._maybe_ran = True
+        return self._refuse(ShuttingDown, None)
+
     def _handle_timer(self, now: float) -> Action:
         if self.ended:
             return Wait()
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -50,6 +50,8 @@
 # Seconds. The load balancer asks every second and decides by two responses.
 LEAVE_NOTICE = 2.6
 SHUTDOWN_MARGIN = 0.7  # seconds of the grace period reserved for closing streams
+# Seconds of the grace period reserved for answers to requests that are still running.
+ANSWER_MARGIN = 0.15
 PROBE_INTERVAL = 0.5  # seconds between two probes of a server
 SILENCE_POLL_INTERVAL = 0.100  # seconds
 DRAIN_POLL_INTERVAL = 0.020  # seconds
@@ -210,7 +212,11 @@
         self._subscription.is_leaving = True
         self._subscription.send_heartbeat_now()
         await asyncio.sleep(LEAVE_NOTICE)
-        drain_until = started_at + self._settings.grace_period - SHUTDOWN_MARGIN
+        killed_at = started_at + self._settings.grace_period
+        drain_until = killed_at - SHUTDOWN_MARGIN
+        asyncio.get_running_loop().call_later(
+            killed_at - ANSWER_MARGIN - read_clock(), self._ingress.stop_deliveries
+        )
         # Closes idle connections at once and the others after their responses.
         for runner in self._runners:
             await runner.cleanup()
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -152,6 +152,7 @@
         self._index = ItemIndex(items=subscription.view.items, random=random)
         self._tokens_changed = asyncio.Event()
         self._key_counts: dict[tuple[str, int], int] = {}
+        self._deliveries: set[Delivery] = set()
         self.drops = DropCounts()
         self.is_leaving = False
         self.is_closed = False
@@ -166,6 +167,11 @@
             self._clock(), list_limits(view.items)
         )
 
+    def stop_deliveries(self) -> None:
+        """Answers the callers whose responses cannot arrive before this host stops."""
+        for delivery in list(self._deliveries):
+            delivery.stop()
+
     def notify_token_waiters(self) -> None:
         """Wakes requests that wait for rate-limit tokens."""
         self._tokens_changed.set()
@@ -210,6 +216,7 @@
             route_name = context.route.name
             await self._acquire_token(context, started)
             delivery = self._build_delivery(request, context, caller)
+            self._deliveries.add(delivery)
             response = await delivery.run()
             outcome = "answered"
             self._bind_logger(request_id, started, context, delivery).bind(
@@ -239,6 +246,8 @@
             error = InternalError()
             return self._refuse(request, request_id, error, started, context, delivery)
         finally:
+            if delivery is not None:
+                self._deliveries.discard(delivery)
             self._record(route_name, outcome, self._clock() - started)
 
     def _admit_request(
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import socket
 
 import pytest
@@ -96,7 +97,7 @@
         server.close()
 
 
-async def read_answer(entry, method, path, request_id, version):
+async def read_answer(entry, method, path, request_id, version, *, deadline=1.0):
     """Returns status, body and whether the answer looks whole to its caller."""
     reader, writer = await asyncio.open_connection(entry.ip, FRONT_PORT)
     lines = [
@@ -104,7 +105,7 @@
         f"Host: {HOST_HEADER}",
         f"Authorization: Bearer {WORKSPACE_KEY}",
         f"X-Monsoonlug-Request-Id: {request_id}",
-        "X-Monsoonlug-Deadline-Ms: 1000",
+        f"X-Monsoonlug-Deadline-Ms: {round(1000 * deadline)}",
         "Connection: close",
     ]
     writer.write("\r\n".join([*lines, "", ""]).encode())
@@ -161,3 +162,22 @@
         fleet.servers[0].raw_answer = whole
         status, _, is_whole = await read_answer(entry, "PUT", "/x", "id", "1.1")
         assert (status, is_whole) == (200, True)
+
+
+async def test_caller_of_a_stopping_entry_gets_an_answer(tmp_path):
+    """Guards against a kept connection that is closed while its server works.
+
+    The grace time of the entry ends before the server is done.
+    """
+    fleet = PlatformFleet(tmp_path, entries=("east",), servers=("east",))
+    fleet.entries[0].settings["bounds"] = ["grace=4s", "strictRevoke=true"]
+    async with fleet:
+        entry = fleet.entries[0]
+        fleet.servers[0].service_time = 1.9
+        entry.process.send_signal(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(4.0, entry.process.kill)
+        await asyncio.sleep(2.3)
+        path = f"{UNSAFE_PREFIX}x"
+        answer = await read_answer(entry, "PUT", path, "id", "1.1", deadline=1.95)
+        assert answer[0] == 502
+        assert answer[2]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,11 +26,18 @@
     RetryBudget,
     Send,
     Sending,
+    Stopping,
     StreamLost,
     TimerFired,
     Wait,
 )
-from monsoonlug.exceptions import KeyRefused, NotGate, OutcomeUnknown, StreamClosed
+from monsoonlug.exceptions import (
+    KeyRefused,
+    NotGate,
+    OutcomeUnknown,
+    ShuttingDown,
+    StreamClosed,
+)
 from monsoonlug.ids import Ran
 
 BODY_SIZE = 30  # bytes of each response body
@@ -193,6 +200,12 @@
         self.now += step
         self.handle_action(self.attempts.decide(self.now, TimerFired()))
 
+    @precondition(lambda self: self.attempts)
+    @rule()
+    def stop(self):
+        if self.result is None:
+            self.handle_action(self.attempts.decide(self.now, Stopping()))
+
     @precondition(lambda self: self.attempts)
     @rule(event=st.sampled_from([CallerDisconnected(), BodyDiscarded()]))
     def disconnect_or_discard(self, event):
@@ -373,3 +386,25 @@
     assert attempts.decide(retry.at, head) == Forward(last=False)
     part = make_part(0, 4, last=True, attempt=2)
     assert attempts.decide(retry.at, part) == Forward(last=True)
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize(
+    ("state", "error"),
+    [("waiting", ShuttingDown), ("sent", OutcomeUnknown), ("answered", OutcomeUnknown)],
+)
+def test_stopping_host_answers_at_once(state, error, idempotent):
+    """Guards against a connection that is closed at the stop of its host."""
+    attempts = start(make_attempts(idempotent=idempotent), sent=state != "waiting")
+    if state == "answered":
+        attempts.decide(0.0, HeadArrived(attempt=1, request_id="r1", length=10))
+    assert attempts.decide(1.0, Stopping()).refusal.error is error
+
+
+def test_stopping_host_leaves_a_response_that_has_begun():
+    """Guards against a response that is cut before its time."""
+    attempts = start(make_attempts())
+    attempts.decide(0.0, HeadArrived(attempt=1, request_id="r1", length=10))
+    attempts.decide(0.0, make_part(0, 2))
+    assert attempts.decide(1.0, Stopping()) == Wait()
+    assert attempts.decide(1.0, make_part(2, 8, last=True)) == Forward(last=True)
