--- a/src/monsoonlug/fleet.py
+++ b/src/monsoonlug/fleet.py
@@ -37,6 +37,7 @@
 from monsoonlug.items import Item, ItemKind, ItemRemoved, ItemTable, get_kind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable, are_contiguous
 from monsoonlug.logs import get_logger
+from monsoonlug.rollout_messages import Rollout, RolloutState, ServerVersionSet
 from monsoonlug.state_machine import StateMachine
 
 logger = get_logger("subscription")
@@ -54,7 +55,10 @@
     """Returns the part of the view that a change affects."""
     if isinstance(change, KeysAssigned):
         return ViewPart.KEYS
-    if isinstance(change, FleetServer | ServerRemoved | DomainChanged):
+    if isinstance(
+        change,
+        FleetServer | ServerRemoved | DomainChanged | Rollout | ServerVersionSet,
+    ):
         return ViewPart.SERVERS
     return ViewPart.ITEMS
 
@@ -65,6 +69,9 @@
     Attributes:
         revision: Log index of the last command that changed the view.
         tables: Key ownership of each pool that is routed by key.
+        rollouts: Latest rollout of each pool that had one.
+        versions: Software versions of servers, where known; a row may be one of an
+            earlier process.
     """
 
     def __init__(self):
@@ -73,6 +80,23 @@
         self.servers: dict[ServerId, FleetServer] = {}
         self.tables: dict[PoolId, KeyTable] = {}
         self.out_of_service_domains: set[FailureDomain] = set()
+        self.rollouts: dict[PoolId, Rollout] = {}
+        self.versions: dict[ServerId, ServerVersionSet] = {}
+
+    def get_version(self, server: FleetServer) -> str:
+        """Returns the software version of a server, or an empty string."""
+        row = self.versions.get(server.server)
+        return row.version if row is not None and row.born == server.born else ""
+
+    def is_target(self, server: FleetServer) -> bool:
+        """Returns whether a server has the target version of its pool's rollout.
+
+        A rollout that succeeded has no effect any more.
+        """
+        rollout = self.rollouts.get(server.pool)
+        if rollout is None or rollout.state is RolloutState.SUCCEEDED:
+            return False
+        return self.get_version(server) == rollout.version
 
     def is_in_service(self, server: FleetServer) -> bool:
         """Returns whether a server may receive new requests."""
@@ -109,6 +133,11 @@
                 self.servers[change.server] = change
             case ServerRemoved():
                 self.servers.pop(change.server, None)
+                self.versions.pop(change.server, None)
+            case Rollout():
+                self.rollouts[change.pool] = change
+            case ServerVersionSet():
+                self.versions[change.server] = change
             case KeysAssigned():
                 self._assign_keys(change)
             case DomainChanged(in_service=True):
@@ -141,6 +170,8 @@
             changes.append(KeysAssigned(pool=pool, rows=rows))
         for domain in sorted(self.out_of_service_domains):
             changes.append(DomainChanged(failure_domain=domain, in_service=False))
+        changes.extend(self.versions.values())
+        changes.extend(self.rollouts.values())
         return changes
 
     def pack(self) -> bytes:
--- a/src/monsoonlug/fleet_messages.py
+++ b/src/monsoonlug/fleet_messages.py
@@ -8,6 +8,12 @@
 from monsoonlug.exceptions import DamagedFrame
 from monsoonlug.ids import SLICE_COUNT, Epoch, FailureDomain, PoolId, ServerId
 from monsoonlug.keyranges import LAST_KEY, KeyRange
+from monsoonlug.rollout_messages import (
+    CommandLevelRaised,
+    RolloutAdvanced,
+    RolloutStarted,
+    ServerVersionSet,
+)
 
 MAX_REPORTED_NUMBER = 1_000_000_000  # in a row of an entry's heartbeat
 MAX_START_TIME_MS = 2**53  # of a process, in Unix milliseconds
@@ -147,7 +153,17 @@
     text: str
 
 
-FleetCommand = ChangeItems | DomainChanged | PutServer | RemoveServer | AssignKeys
+FleetCommand = (
+    ChangeItems
+    | DomainChanged
+    | PutServer
+    | RemoveServer
+    | AssignKeys
+    | RolloutStarted
+    | RolloutAdvanced
+    | ServerVersionSet
+    | CommandLevelRaised
+)
 
 # Messages between entries and control.
 
--- a/tests/test_previous_build.py
+++ b/tests/test_previous_build.py
@@ -19,6 +19,7 @@
 from monsoonlug.streams import MessageStream
 from tests.test_storage_failures import ControlFleet
 from tests.write_previous_build import (
+    LATER_TYPES,
     SNAPSHOT_INDEX,
     build_samples,
     import_all_modules,
@@ -50,6 +51,9 @@
     """
     known = set(msgpack.unpackb((PREVIOUS / "messages").read_bytes()))
     assert {messages.encode(message) for message in build_samples()} == known
+    numbers = {msgpack.unpackb(body, strict_map_key=False)[0] for body in known}
+    later = set(messages._types_by_number) - numbers
+    assert later - {messages._numbers_by_type[messages.Compressed]} == LATER_TYPES
 
 
 def test_both_builds_apply_a_log_to_the_same_state():
