Serve configurations without workspaces, and routes of the type download

A request needed a key unless its route was open, so a configuration without workspaces answered every request 401, and Authorization never reached a server.

A key is required now if and only if at least one workspace is in force and the route is not open (authentication.py, taken out of ingress.py). Without workspaces the router does not read Authorization: several values are no error, it is forwarded unchanged, the caller's value of the workspace header is dropped (also in the spelling with underscores) and none is set. A request that waits for a token while the last workspace is removed is admitted anew.

The type download may run more than once, like safe.

--- a/src/monsoonlug/admission.py
+++ b/src/monsoonlug/admission.py
@@ -498,7 +498,11 @@
 
 
 def strip_headers(
-    headers: list[tuple[str, str]], connection_headers: set[str], key: str
+    headers: list[tuple[str, str]],
+    connection_headers: set[str],
+    key: str,
+    *,
+    keep_authorization: bool = False,
 ) -> list[tuple[str, str]]:
     """Returns the headers to forward to a backend server.
 
@@ -506,10 +510,14 @@
         headers: Names and values.
         connection_headers: Lower-case names of headers that Connection lists.
         key: The workspace key; headers that contain it are removed.
+        keep_authorization: Whether the header Authorization is addressed to the server.
     """
     kept = []
     for name, value in headers:
         lower = name.lower()
+        if keep_authorization and lower == "authorization":
+            kept.append((name, value))
+            continue
         # CGI-style servers treat X_Workspace and X-Workspace as the same header.
         if lower.replace("_", "-") in _STRIPPED_HEADERS or lower in connection_headers:
             continue
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -20,6 +20,11 @@
     read_length,
     strip_headers,
 )
+from monsoonlug.authentication import (
+    STALE_RETRY_AFTER,
+    authenticate,
+    check_denial,
+)
 from monsoonlug.delivery import Delivery, DeliveryContext
 from monsoonlug.dispatch import Attempts, DropCounts, RetryBudget
 from monsoonlug.exceptions import (
@@ -37,7 +42,7 @@
 )
 from monsoonlug.fleet import FleetView
 from monsoonlug.ids import Ran, RequestId, WorkspaceId
-from monsoonlug.items import RouteItem, WorkspaceItem, classify_request
+from monsoonlug.items import RouteItem, classify_request
 from monsoonlug.keyranges import LAST_KEY
 from monsoonlug.logs import get_logger
 from monsoonlug.lookup import BodyLimits, ItemIndex, ServedRoute
@@ -51,8 +56,6 @@
 
 TOKEN_POLL_INTERVAL = 0.050  # seconds, while the leader does not respond
 TOKEN_TIMEOUT = 0.250  # seconds that a request waits for a rate-limit token
-MAX_DENIAL_VIEW_AGE = 1.0  # seconds; an older view may lack a new route or key
-STALE_RETRY_AFTER = 0.300  # seconds; about when the next heartbeat has a response
 SHUTDOWN_RETRY_AFTER = 0.050  # seconds; the next connection goes to another host
 MIN_RETRY_AFTER = 0.020  # seconds
 RETRY_RATIO = 0.10  # retries per request; the limit for all hosts together is 0.2
@@ -73,13 +76,14 @@
         request_id: Request id that the caller sent, or an empty string.
         timeout: Seconds that the caller waits, or None if it set no deadline.
         routing_key: Key that determines the owner, or None.
-        workspace_key: The workspace key, or an empty string.
+        workspace_keys: The different workspace keys in the headers, at most one unless
+            the request is malformed or the configuration has no workspace.
     """
 
     request_id: str
     timeout: float | None
     routing_key: int | None
-    workspace_key: str
+    workspace_keys: tuple[str, ...]
 
 
 class CallerProtocol(ABC):
@@ -186,7 +190,11 @@
         """Returns whether load balancers should send new connections to this host."""
         if self.is_leaving or self._index.is_empty:
             return False
-        if self._subscription.get_view_age() >= self._max_view_age:
+        # Without workspaces, no request is refused because of the view's age.
+        if (
+            self._index.has_workspaces
+            and self._subscription.get_view_age() >= self._max_view_age
+        ):
             return False
         return self._delivery_context.finder.can_serve()
 
@@ -214,7 +222,9 @@
             request_id = RequestId(caller.request_id)
             context = self._admit_request(request, headers, named, caller, started)
             route_name = context.route.name
-            await self._acquire_token(context, started)
+            if not await self._acquire_token(context, started):
+                # The last workspace was removed while the request waited for a token.
+                context = self._admit_request(request, headers, named, caller, started)
             delivery = self._build_delivery(request, context, caller)
             self._deliveries.add(delivery)
             response = await delivery.run()
@@ -274,14 +284,20 @@
         path = request.raw_path.partition("?")[0]
         try:
             route = self._index.match(host, path)
-            workspace, digest = self._authenticate(route, caller.workspace_key)
+            identity = authenticate(
+                self._index,
+                route,
+                caller.workspace_keys,
+                view_age=self._subscription.get_view_age(),
+                max_view_age=self._max_view_age,
+            )
         except (UnknownRoute, KeyRefused) as error:
             raise self._check_denial(error) from None
         pool = self._index.choose_pool(route)
         served = ServedRoute(
             name=route.name,
             pool=pool,
-            priority=classify_request(route, workspace),
+            priority=classify_request(route, identity.workspace),
             idempotent=route.idempotent,
             limits=BodyLimits(body=self._index.limits.body_bytes),
         )
@@ -289,47 +305,28 @@
         deadline = started + min(timeout, route.timeout, MAX_TIMEOUT)
         admitted = AdmittedRequest(
             route=served,
-            workspace=workspace.name if workspace else None,
+            workspace=identity.workspace.name if identity.workspace else None,
             key_digest="",
             routing_key=self._read_routing_key(pool, caller),
             method=request.method,
             target=request.raw_path,
             headers=self._build_forwarded_headers(
-                headers, connection_headers, caller.workspace_key
+                headers, connection_headers, caller.workspace_keys
             ),
             content_length=length,
             idempotency_key="",
             objective_at=started + route.objective,
         )
         return _RequestContext(
-            request=admitted, route=route, key_digest=digest, deadline=deadline
+            request=admitted,
+            route=route,
+            key_digest=identity.key_digest,
+            deadline=deadline,
         )
 
-    def _authenticate(
-        self, route: RouteItem, key: str
-    ) -> tuple[WorkspaceItem | None, str]:
-        if route.open:
-            return None, ""
-        age = self._subscription.get_view_age()
-        if age >= self._max_view_age:
-            raise StaleView(
-                f"the view is {age:.2f} s old; workspace keys need a view younger than "
-                f"{self._max_view_age:.2f} s",
-                retry_after=STALE_RETRY_AFTER,
-            )
-        if not key:
-            raise KeyRefused("the request has no workspace key")
-        return self._index.find_workspace(key)
-
     def _check_denial(self, error: MonsoonlugError) -> MonsoonlugError:
         """Returns `error`, or `StaleView` if the view may lack a new route or key."""
-        age = self._subscription.get_view_age()
-        if age < MAX_DENIAL_VIEW_AGE:
-            return error
-        return StaleView(
-            f"{error.code} according to a view that is {age:.2f} s old",
-            retry_after=STALE_RETRY_AFTER,
-        )
+        return check_denial(error, view_age=self._subscription.get_view_age())
 
     def _read_routing_key(self, pool: str, caller: CallerHeaders) -> str:
         if not self._index.is_keyed(pool):
@@ -344,23 +341,33 @@
         return str(key)
 
     def _build_forwarded_headers(
-        self, headers: list[tuple[str, str]], connection_headers: set[str], key: str
+        self,
+        headers: list[tuple[str, str]],
+        connection_headers: set[str],
+        keys: tuple[str, ...],
     ) -> list[tuple[str, str]]:
+        # Without workspaces, the header Authorization is the backend servers' own.
+        has_workspaces = self._index.has_workspaces
+        key = keys[0] if keys and has_workspaces else ""
         reserved = self._protocol.reserved_headers
         kept = []
-        for name, value in strip_headers(headers, connection_headers, key):
-            if name.lower() not in reserved:
+        for name, value in strip_headers(
+            headers, connection_headers, key, keep_authorization=not has_workspaces
+        ):
+            # CGI-style servers treat X_Name and X-Name as the same header.
+            if name.lower().replace("_", "-") not in reserved:
                 kept.append((name, value))
         return kept
 
-    async def _acquire_token(self, context: _RequestContext, started: float) -> None:
+    async def _acquire_token(self, context: _RequestContext, started: float) -> bool:
+        """Waits for a token; returns False if the request must be admitted anew."""
         workspace = context.request.workspace
         if workspace is None:
-            return
+            return True
         rate_limiter = self._subscription.rate_limiter
         rate_limiter.record_demand(started, workspace)
         if rate_limiter.try_acquire(started, workspace):
-            return
+            return True
         self._check_rate_limit(workspace)
         rate_limiter.change_waiting(workspace, 1)
         try:
@@ -368,8 +375,11 @@
         finally:
             rate_limiter.change_waiting(workspace, -1)
         # The workspace key may have been withdrawn while the request waited.
-        if not self._index.contains_digest(context.key_digest):
+        if self._index.contains_digest(context.key_digest):
+            return True
+        if self._index.has_workspaces:
             raise KeyRefused()
+        return False
 
     async def _wait_for_token(self, workspace: WorkspaceId, deadline: float) -> None:
         rate_limiter = self._subscription.rate_limiter
--- a/src/monsoonlug/lookup.py
+++ b/src/monsoonlug/lookup.py
@@ -79,6 +79,9 @@
         items: The items.
         random: Source of the initial positions of traffic splits.
         previous: Index of the previous revision; unchanged splits keep their position.
+
+    Attributes:
+        has_workspaces: Whether a workspace is in force, even one without keys.
     """
 
     def __init__(
@@ -100,7 +103,9 @@
             self._pool_choosers[route.name] = chooser
         for routes in self._routes.values():
             routes.sort(key=lambda route: -len(route.prefix))
+        self.has_workspaces = False
         for workspace in items.iterate(ItemKind.WORKSPACE):
+            self.has_workspaces = True
             for digest in workspace.key_digests:
                 self._workspaces[digest] = workspace
         self._keyed = {pool.name: pool.keyed for pool in items.iterate(ItemKind.POOL)}
@@ -126,6 +131,10 @@
         """Returns whether requests to a pool need a routing key."""
         return self._keyed.get(pool, False)
 
+    def requires_key(self, route: RouteItem) -> bool:
+        """Returns whether requests on a route need a workspace key."""
+        return self.has_workspaces and not route.open
+
     def find_workspace(self, key: str) -> tuple[WorkspaceItem, str]:
         """Returns the workspace of a key and the key's digest.
 
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -39,7 +39,8 @@
     "tenants": ItemKind.WORKSPACE,
     "limits": ItemKind.LIMITS,
 }
-_IDEMPOTENT_BY_TYPE = {"safe": True, "unsafe": False}
+# The size of a route's responses is learned, so downloads need no mark of their own.
+_IDEMPOTENT_BY_TYPE = {"safe": True, "unsafe": False, "download": True}
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 MAX_HEARTBEAT_BYTES = 262_144
 MAX_SLOTS = 65_536  # of one server
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -61,7 +61,7 @@
             request_id=request_id,
             timeout=None if milliseconds is None else milliseconds / 1000,
             routing_key=_read_number(named, ROUTING_KEY_HEADER),
-            workspace_key=_read_workspace_key(named),
+            workspace_keys=_read_workspace_keys(named),
         )
 
     @property
@@ -165,12 +165,10 @@
     return int(text)
 
 
-def _read_workspace_key(named: dict[str, list[str]]) -> str:
+def _read_workspace_keys(named: dict[str, list[str]]) -> tuple[str, ...]:
     keys = set()
     for value in named.get("authorization", ()):
         scheme, _, credentials = value.partition(" ")
         if scheme.lower() == "bearer":
             keys.add(credentials.strip(" \t"))
-    if len(keys) > 1:
-        raise BadRequest("the request has more than one workspace key")
-    return keys.pop() if keys else ""
+    return tuple(sorted(keys))
