Split requests between versions during a rollout and count their outcomes

Cause: during a rollout, requests of a pool are to move between software versions by a share, and control needs to compare what became of them.

Change: in pools without keys, servers of the target version have gates of their own, whose names contain a digest of the version. Those of the others keep their names.

version_outcomes counts at the gate, which alone knows the server, the time of sending and coldness, and sends each request exactly once. Gates that vanish no longer leave an empty queue, as each version adds gate names.

--- a/src/monsoonlug/exchanges.py
+++ b/src/monsoonlug/exchanges.py
@@ -67,13 +67,17 @@
         self._closed = True
         self._changed.set()
 
+    def has(self, size: int) -> bool:
+        """Returns whether `acquire` would not have to wait for credit."""
+        return self._size >= min(size, WINDOW_BYTES)
+
     async def acquire(self, size: int) -> None:
         """Waits for credit and uses it for a chunk of this size.
 
         Raises:
             StreamClosed: If the exchange has ended.
         """
-        while self._size < min(size, WINDOW_BYTES):
+        while not self.has(size):
             if self._closed:
                 raise StreamClosed()
             self._changed.clear()
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -44,6 +44,7 @@
     HeartbeatReports,
     Subscription,
 )
+from monsoonlug.version_outcomes import VersionOutcomes
 
 BOOT_ID_BYTES = 8
 DEPARTED_HOST_RETENTION = 10.0  # seconds; longer than a host takes to shut down
@@ -55,6 +56,7 @@
 PROBE_INTERVAL = 0.5  # seconds between two probes of a server
 SILENCE_POLL_INTERVAL = 0.100  # seconds
 DRAIN_POLL_INTERVAL = 0.020  # seconds
+REPORT_POLL_INTERVAL = 0.100  # seconds between two checks for reports on rollouts
 MAX_LINE_BYTES = 16_384  # in a request line or one header field
 REVOCATION_MARGIN = 0.5  # seconds before the revocation bound at which a view expires
 
@@ -118,12 +120,13 @@
         """Starts listening."""
         settings = self._settings
         random = Random()
+        boot = secrets.token_hex(BOOT_ID_BYTES)
         self._subscription = Subscription(
             identity=EntryIdentity(
                 host=settings.host,
                 failure_domain=settings.failure_domain,
                 stream=settings.stream,
-                boot=secrets.token_hex(BOOT_ID_BYTES),
+                boot=boot,
             ),
             seeds=settings.seeds,
             clock=read_clock,
@@ -138,12 +141,18 @@
         )
         self._crash_tracker = CrashTracker()
         self._closing_times = ClosingTimes()
+        self._outcomes = VersionOutcomes(
+            host=settings.host,
+            boot=boot,
+            on_event=self._metrics.count_rollout_request,
+        )
         self._gate_host = GateHost(
             clock=read_clock,
             closing_times=self._closing_times,
             open_backend=self._open_backend,
             random=random,
             on_notice=self._subscription.send_heartbeat_now,
+            outcomes=self._outcomes,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -158,6 +167,7 @@
             is_reachable=self._is_reachable,
             blocks=self._subscription.blocks,
             closing_times=self._closing_times,
+            get_view_age=self._subscription.get_view_age,
         )
         delivery_context = DeliveryContext(
             finder=self._finder,
@@ -199,6 +209,9 @@
             )
         )
         self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
+        self._spawn(
+            self._run_periodically(REPORT_POLL_INTERVAL, self._send_rollout_reports)
+        )
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
     async def on_stop(self) -> None:
@@ -302,6 +315,11 @@
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
+        add_gauge(
+            "stale_rollouts",
+            "Pools in a rollout that use the old version only, as the view is old.",
+            lambda: self._finder.stale_rollouts,
+        )
         add_gauge(
             "view_age_seconds", "Age of the view.", self._subscription.get_view_age
         )
@@ -423,6 +441,13 @@
             notices=self._gate_host.list_server_notices(),
         )
 
+    def _send_rollout_reports(self) -> None:
+        now = read_clock()
+        session = self._subscription.leader_session
+        for report in self._outcomes.list_reports(now, session):
+            if self._subscription.send_to_leader(report):
+                self._outcomes.record_sent(now, session, report)
+
     def _apply_verdict(self, verdict: RequestVerdict) -> None:
         self._crash_tracker.apply_verdict(read_clock(), verdict)
         if verdict.state is RequestState.BLOCKED:
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -1,7 +1,7 @@
 """Selects the gate of a request in an announced fleet."""
 
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -12,6 +12,7 @@
 from monsoonlug.fleet_messages import FleetServer
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import (
+    VERSION_MARK,
     ClosingTimes,
     GateId,
     LiveHost,
@@ -22,6 +23,7 @@
 from monsoonlug.jobs import POOLED
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
+from monsoonlug.version_split import VersionSplits
 
 OWNER_TIMEOUT = 0.9  # seconds that a request waits for an owner; about one heartbeat
 FENCED_BLOCK_TIME = 0.25  # seconds until a server that rejected a key is retried
@@ -77,6 +79,7 @@
         is_reachable: Whether there is an open, responsive stream to a host.
         blocks: Key ranges that are temporarily not served.
         closing_times: Closing times of servers out of service; updated by their owner.
+        get_view_age: Returns the seconds since the view was known to be current.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         is_reachable: Callable[[HostId], bool],
         blocks: KeyBlocks,
         closing_times: ClosingTimes,
+        get_view_age: Callable[[], float] = lambda: 0.0,
     ):
         super().__init__(clock=clock, random=random)
         self.wait_timeout = OWNER_TIMEOUT
@@ -109,9 +113,15 @@
         self._gate_ids: dict[str, GateId] = {}
         self._gate_servers: dict[str, list[ServerId]] = {}
         self._loads: dict[str, GateLoad] = {}
+        self._splits = VersionSplits(random=random, get_view_age=get_view_age)
+
+    @property
+    def stale_rollouts(self) -> int:
+        """Pools in a rollout that use the old version only, as the view is old."""
+        return self._splits.stale_count
 
     def update_fleet(
-        self, view: FleetView, gates: Mapping[GateId, Iterable[FleetServer]]
+        self, view: FleetView, gates: Mapping[GateId, Sequence[FleetServer]]
     ) -> None:
         """Applies a view with changed items or servers, and its gates."""
         self._fleet = view
@@ -125,6 +135,11 @@
         for gate in gates:
             if gate.pool not in view.tables:
                 self._pool_gates.setdefault(gate.pool, []).append(gate)
+        self._splits.update(view, gates)
+        # Each version that a rollout moves requests to adds gates with new names.
+        for name in set(self._loads) - set(self._gate_servers):
+            if VERSION_MARK in name:
+                del self._loads[name]
 
     def update_hosts(self, hosts: list[LiveHost]) -> None:
         """Sets the live hosts."""
@@ -244,7 +259,9 @@
         self, admitted: AdmittedRequest, exclude: Collection[ServerId]
     ) -> Target | None:
         pool = PoolId(admitted.route.pool)
-        gates = self._pool_gates.get(pool, [])
+        gates = self._splits.select(
+            pool, self._pool_gates.get(pool, []), is_retry=bool(exclude)
+        )
         fresh = [gate for gate in gates if gate.name not in exclude]
         best = None
         for gate in fresh or gates:
@@ -289,7 +306,10 @@
             return True
         if target.slice != POOLED:
             return self._find_host(gate) is not None
-        for other in self._pool_gates.get(gate.pool, ()):
+        gates = self._splits.select(
+            gate.pool, self._pool_gates.get(gate.pool, []), is_retry=True
+        )
+        for other in gates:
             if other.name not in tried and self._find_host(other) is not None:
                 return True
         return False
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -53,12 +53,18 @@
 from monsoonlug.messages import RequestHead
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
+from monsoonlug.rollout_messages import RolloutState
 from monsoonlug.serverqueue import (
     RECONNECT_DELAY,
     ServerQueue,
     ServiceTimeModel,
     build_rest_refusal,
 )
+from monsoonlug.version_outcomes import (
+    AttemptEnd,
+    CountedRequest,
+    VersionOutcomes,
+)
 
 # Servers of a pool without keys that share one gate. Responses of 5 KB from eight busy
 # servers saturate the 2 Mbit/s link of a small host; those of three use half of it.
@@ -66,6 +72,8 @@
 # Hosts of a gate's failure domain that are preferred to those of others. The gates of a
 # domain of which most hosts fail then do not all move to the few that are left.
 LOCAL_CANDIDATES = 3
+# In the name of a gate of a rollout's target version, before the version's digest.
+VERSION_MARK = "~"
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
 DOMAIN_GRACE = 3.5  # seconds; no requests may arrive 5 s after a domain is taken out
 POOL_SILENCE = 0.3  # seconds without a response of a pool that call for a check
@@ -129,10 +137,11 @@
     """Returns all gates with their servers.
 
     A leaving server of a keyed pool keeps its gate while it still owns keys. Servers of
-    other pools that are out of service have no gate.
+    other pools that are out of service have no gate. Servers of the version that the
+    latest rollout of such a pool moves requests to have gates of their own.
     """
     keyed = {item.name: item.keyed for item in view.items.iterate(ItemKind.POOL)}
-    locations: dict[tuple[PoolId, FailureDomain], list[FleetServer]] = {}
+    locations: dict[tuple[PoolId, FailureDomain, str], list[FleetServer]] = {}
     gates: dict[GateId, list[FleetServer]] = {}
     for record in view.servers.values():
         if record.pool not in keyed:
@@ -140,18 +149,38 @@
         if keyed[record.pool]:
             gates[build_gate_id(record)] = [record]
         elif view.is_in_service(record):
-            location = (record.pool, record.failure_domain)
+            suffix = _find_suffix(view, record)
+            location = (record.pool, record.failure_domain, suffix)
             locations.setdefault(location, []).append(record)
     for location, records in locations.items():
         gates.update(_group_servers(*location, records))
     return gates
 
 
+def _find_suffix(view: FleetView, record: FleetServer) -> str:
+    """Returns the end of the name of a server's gate.
+
+    The gates of a target version keep their names after the rollout has succeeded. The
+    old servers stop at that moment, and an entry with the new view may send to a host
+    with the previous one, which must not have old servers in a gate of that name.
+    """
+    rollout = view.rollouts.get(record.pool)
+    if rollout is None or rollout.state is RolloutState.ROLLED_BACK:
+        return ""
+    if view.get_version(record) != rollout.version:
+        return ""
+    digest = xxhash.xxh32_hexdigest(rollout.version.encode())
+    return f"{VERSION_MARK}{digest}"
+
+
 def _group_servers(
-    pool: PoolId, domain: FailureDomain, records: list[FleetServer]
+    pool: PoolId, domain: FailureDomain, suffix: str, records: list[FleetServer]
 ) -> dict[GateId, list[FleetServer]]:
     """Divides the servers of a pool in a failure domain into gates of similar size.
 
+    Without a suffix, the names are those of a pool without a rollout, so that the
+    queues of the present servers outlive the start of one.
+
     Servers are ordered by hash, so adding or removing one moves at most one server of
     each gate to the next gate.
     """
@@ -160,7 +189,7 @@
     gates: dict[GateId, list[FleetServer]] = {}
     for position, record in enumerate(records):
         number = position * count // len(records)
-        name = f"{pool}/{domain}/{number}"
+        name = f"{pool}/{domain}/{number}{suffix}"
         gate = GateId(pool=pool, name=name, failure_domain=domain)
         gates.setdefault(gate, []).append(record)
     return gates
@@ -211,13 +240,19 @@
     """A request that was sent to a server and has not ended.
 
     Attributes:
+        started_at: When it was sent, in seconds of this host's clock.
+        counted: How the rollout of its pool counts it; None without one.
         is_given_up: Whether it was cancelled because the server is unreachable.
+        head_at: When the response head arrived, or None.
     """
 
     server: ServerId
     job: Job
     task: asyncio.Task
+    started_at: float
+    counted: CountedRequest | None = None
     is_given_up: bool = False
+    head_at: float | None = None
 
 
 class GateHost:
@@ -229,6 +264,7 @@
         closing_times: Closing times of servers out of service; updated by their owner.
         random: Source of the choice of servers to check.
         on_notice: Called when `list_server_notices` has a new row.
+        outcomes: Counts the requests of pools with a running rollout.
     """
 
     def __init__(
@@ -239,8 +275,10 @@
         open_backend: Callable[[FleetServer, PoolItem], BackendProtocol],
         random: Random | None = None,
         on_notice: Callable[[], None] = lambda: None,
+        outcomes: VersionOutcomes | None = None,
     ):
         self._on_notice = on_notice
+        self._outcomes = VersionOutcomes() if outcomes is None else outcomes
         self._clock = clock
         self._open_backend = open_backend
         self._view = FleetView()
@@ -303,6 +341,8 @@
     def update(self, view: FleetView, gates: dict[GateId, list[FleetServer]]) -> None:
         """Applies a view with changed items or servers, and its gates."""
         self._view = view
+        if self._outcomes.update(view):
+            self._adopt_running()
         self._gates = {gate.name: (gate, servers) for gate, servers in gates.items()}
         for name in list(self._queues):
             self._sync_servers(name)
@@ -319,6 +359,10 @@
             self._close_tasks.add(task)
             task.add_done_callback(self._close_tasks.discard)
         self.process_queues()
+        # Their waiting requests were refused above. Each version that a rollout moves
+        # requests to adds gates with new names.
+        for name in set(self._queues) - set(self._gates):
+            del self._queues[name]
 
     def set_cold(self, server: ServerId, seconds: float) -> None:
         """Treats a server as cold for the given seconds from now on."""
@@ -442,7 +486,16 @@
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
                 self._running[request.request_id] = _Attempt(
-                    server=server, job=request.payload, task=task
+                    server=server,
+                    job=request.payload,
+                    task=task,
+                    started_at=now,
+                    counted=self._outcomes.record_start(
+                        PoolId(request.payload.head.pool),
+                        server,
+                        request.route,
+                        is_cold=self._is_cold(now, server),
+                    ),
                 )
             for request, refusal in queue.expire(now):
                 request.payload.fail(refusal.build_error())
@@ -546,9 +599,10 @@
         self, queue: ServerQueue, request: QueuedRequest, server: ServerId
     ) -> None:
         job: Job = request.payload
+        attempt = self._running[request.request_id]
         outcome = Outcome.LOST
         try:
-            await self._send_request(queue, job, server)
+            await self._send_counted(queue, attempt)
             outcome = Outcome.ANSWERED
         except (ConnectFailed, ProcessGone) as error:
             outcome = Outcome.UNREACHED
@@ -565,7 +619,7 @@
         except MonsoonlugError as error:
             if isinstance(error, OutcomeUnknown):
                 outcome = Outcome.ABANDONED
-            if self._running[request.request_id].is_given_up:
+            if attempt.is_given_up:
                 error = ServerUnreachable()
             elif isinstance(
                 error, ConnectionLost
@@ -691,9 +745,50 @@
             if existing is not None:
                 existing[1].cancel(request_id)
 
-    async def _send_request(
-        self, queue: ServerQueue, job: Job, server: ServerId
-    ) -> None:
+    async def _send_counted(self, queue: ServerQueue, attempt: _Attempt) -> None:
+        """Sends a request and counts its end, before the job is closed by it."""
+        try:
+            await self._send_request(queue, attempt)
+        except BaseException as error:
+            self._count_end(attempt, error)
+            raise
+        self._count_end(attempt, None)
+
+    def _count_end(self, attempt: _Attempt, error: BaseException | None) -> None:
+        if attempt.counted is None:
+            return
+        now = self._clock()
+        job = attempt.job
+        # A caller that reads slowly says nothing about the server.
+        is_read_late = job.is_blocked and attempt.head_at is not None
+        ended_at = attempt.head_at if is_read_late else now
+        model = self._models.get(PoolId(job.head.pool), ServiceTimeModel())
+        end = AttemptEnd(
+            error=error,
+            status=job.status,
+            is_cancelled=job.ended,
+            is_given_up=attempt.is_given_up,
+            is_blocked=job.is_blocked or not job.is_body_sent,
+            elapsed=ended_at - attempt.started_at,
+            remaining=job.deadline - now,
+            expected=model.estimate(job.head.route, ServerId("")),
+        )
+        is_cold = self._is_cold(now, attempt.server)
+        self._outcomes.record_end(attempt.counted, end, is_cold=is_cold)
+
+    def _adopt_running(self) -> None:
+        """Lets the counts of a new rollout include the requests that run already."""
+        for attempt in self._running.values():
+            pool = PoolId(attempt.job.head.pool)
+            attempt.counted = self._outcomes.adopt(
+                pool, attempt.server, attempt.job.head.route, attempt.counted
+            )
+
+    def _is_cold(self, now: float, server: ServerId) -> bool:
+        return now < self._cold_until.get(server, -math.inf)
+
+    async def _send_request(self, queue: ServerQueue, attempt: _Attempt) -> None:
+        job = attempt.job
         head = job.head
 
         def estimate_latency() -> float:
@@ -701,13 +796,17 @@
             return queue.predict_latency(self._clock(), head.route, request_class)
 
         is_pooled = head.slice == POOLED
-        backend = self._get_backend(server)
+        backend = self._get_backend(attempt.server)
         await job.run(
             backend,
             estimate_latency=estimate_latency if is_pooled else None,
-            on_head=partial(self._handle_response, server),
+            on_head=partial(self._handle_head, attempt),
         )
 
+    def _handle_head(self, attempt: _Attempt) -> None:
+        attempt.head_at = self._clock()
+        self._handle_response(attempt.server)
+
     def _handle_response(self, server: ServerId) -> None:
         """Records that a server responded, and what it says of itself."""
         existing = self._backends.get(server)
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -36,6 +36,11 @@
         head: Head of the request.
         peer: The peer that sent the request and receives the response.
         deadline: Seconds of this host's clock.
+
+    Attributes:
+        status: Status of the response, or 0 while there is none.
+        is_blocked: Whether the response had to wait for the caller to read.
+        is_body_sent: Whether the caller has sent the whole request.
     """
 
     def __init__(self, *, head: RequestHead, peer: Peer, deadline: float):
@@ -44,6 +49,9 @@
         self.deadline = deadline
         self.ended = False
         self.has_response = False
+        self.status = 0
+        self.is_blocked = False
+        self.is_body_sent = not head.has_body
         self._body_parts: asyncio.Queue[_BodyPart | None] = asyncio.Queue()
         self._unread_bytes = 0
         self._sent_bytes = 0
@@ -85,6 +93,7 @@
             if part.data:
                 yield part.data
             if part.last:
+                self.is_body_sent = True
                 return
             self.peer.send(Credit(stream=self.head.stream, size=len(part.data)))
 
@@ -130,6 +139,8 @@
         """
         for start in range(0, max(1, len(data)), MAX_CHUNK_BYTES):
             piece = data[start : start + MAX_CHUNK_BYTES]
+            if not self._credit.has(len(piece)):
+                self.is_blocked = True
             await self._credit.acquire(len(piece))
             message = ResponseBody(
                 stream=self.head.stream,
@@ -176,6 +187,7 @@
         body = self.iterate_body() if head.has_body else None
         response = await backend.send(message, body)
         self.has_response = True
+        self.status = response.status
         on_head()
         try:
             body = response.read_whole(MAX_CHUNK_BYTES)
--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -51,6 +51,12 @@
             ["kind", "outcome"],
             registry=self._registry,
         )
+        self._rollout_requests = Counter(
+            "monsoonlug_rollout_requests",
+            "Requests to servers of pools with a running rollout by version and event.",
+            ["pool", "version", "event"],
+            registry=self._registry,
+        )
         self._runner: web.AppRunner | None = None
 
     def count_request(self, route: str, outcome: str, seconds: float) -> None:
@@ -63,6 +69,10 @@
         """Counts a control call of a backend server or operator."""
         self._calls.labels(kind, outcome).inc()
 
+    def count_rollout_request(self, pool: str, version: str, event: str) -> None:
+        """Counts an event of a request to a server of a pool in a rollout."""
+        self._rollout_requests.labels(pool, version, event).inc()
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Adds a gauge whose value is read whenever the metrics are scraped."""
         gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -181,6 +181,7 @@
         self._sent_at: dict[int, float] = {}
         self._leader = ""
         self._term = 0
+        self._leader_session = 0
         self._last_response_at = clock()
         self._view_chunks: dict[str, list[bytes]] = {}
         self._links: dict[str, Link] = {}
@@ -193,6 +194,16 @@
         """Returns the seconds since the view was last known to be current."""
         return self._clock() - self.confirmed_at
 
+    @property
+    def leader_session(self) -> int:
+        """Number that rises with each new leader or term, and each new contact."""
+        return self._leader_session
+
+    def send_to_leader(self, message: object) -> bool:
+        """Sends a message to the leader; returns False if that is not possible now."""
+        link = self._links.get(self._leader)
+        return link is not None and link.send(message)
+
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seeds, after a change of the settings."""
         self._seeds = tuple(seeds)
@@ -353,6 +364,8 @@
                 response.term,
                 response.revision,
             )
+        if self._leader != address or self._term != response.term:
+            self._leader_session += 1
         self._leader = address
         self._term = response.term
         self._last_response_at = now
