Blame no version for requests that were lost to a cut network

Cause: a deadline that passes at a server which the gate's host cannot connect to, as on a cut network, counted as a failure of its version.

Change: such a request counts as sent only. A lost connection still counts as a failure, so that a version which crashes is seen.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -767,7 +767,8 @@
             error=error,
             status=job.status,
             is_cancelled=job.ended,
-            is_given_up=attempt.is_given_up,
+            is_unreachable=attempt.is_given_up
+            or attempt.server in self._reachability.unreachable,
             is_blocked=job.is_blocked or not job.is_body_sent,
             elapsed=ended_at - attempt.started_at,
             remaining=job.deadline - now,
--- a/src/monsoonlug/version_outcomes.py
+++ b/src/monsoonlug/version_outcomes.py
@@ -23,7 +23,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from monsoonlug.exceptions import OutcomeUnknown
+from monsoonlug.exceptions import ConnectionLost, OutcomeUnknown
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import FleetServer
 from monsoonlug.ids import PoolId, ServerId
@@ -66,7 +66,7 @@
         error: The error, or None after a complete response.
         status: Status of the response, or 0 if there was none.
         is_cancelled: Whether the caller's entry cancelled the request.
-        is_given_up: Whether it was cancelled as the server could not be reached.
+        is_unreachable: Whether no connection to the server can be opened now.
         is_blocked: Whether the server had to wait for the caller to send or to read.
         elapsed: Time since the request was sent.
         remaining: Time until the deadline; negative after it.
@@ -76,7 +76,7 @@
     error: BaseException | None = None
     status: int = 0
     is_cancelled: bool = False
-    is_given_up: bool = False
+    is_unreachable: bool = False
     is_blocked: bool = False
     elapsed: float = 0.0
     remaining: float = math.inf
@@ -88,13 +88,17 @@
 
     Failures are statuses from 500 on, connections that were lost after the request was
     sent, invalid or cut responses, and no response within the deadline. Not at fault is
-    a server that said that it did not run the request, that could not be connected to,
-    that had to wait for the caller, or that had less time than usual, as the request
-    waited in a queue before.
+    a server that said that it did not run the request, that the network may hide, that
+    had to wait for the caller, or that had less time than usual, as the request waited
+    in a queue before.
     """
     if end.error is None:
         return Verdict.FAILURE if end.status >= 500 else Verdict.RESPONSE
-    if not isinstance(end.error, OutcomeUnknown) or end.is_given_up:
+    if not isinstance(end.error, OutcomeUnknown):
+        return Verdict.NONE
+    if isinstance(end.error, ConnectionLost) and not end.is_cancelled:
+        return Verdict.FAILURE
+    if end.is_unreachable:
         return Verdict.NONE
     is_late = end.remaining <= DEADLINE_MARGIN
     if end.is_cancelled and not is_late:
