Apply the commands of rollouts to the replicated state

Orders, steps, versions of servers and the command level need a place that survives every tolerated loss.

--- a/src/monsoonlug/fleet.py
+++ b/src/monsoonlug/fleet.py
@@ -37,7 +37,20 @@
 from monsoonlug.items import Item, ItemKind, ItemRemoved, ItemTable, get_kind
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable, are_contiguous
 from monsoonlug.logs import get_logger
-from monsoonlug.rollout_messages import Rollout, RolloutState, ServerVersionSet
+from monsoonlug.rollout_messages import (
+    CommandLevelRaised,
+    Rollout,
+    RolloutAdvanced,
+    RolloutStarted,
+    RolloutState,
+    ServerVersionSet,
+)
+from monsoonlug.rollout_state import (
+    advance_rollout,
+    end_dropped_rollout,
+    set_version,
+    start_rollout,
+)
 from monsoonlug.state_machine import StateMachine
 
 logger = get_logger("subscription")
@@ -103,8 +116,16 @@
         return (
             not server.draining
             and server.failure_domain not in self.out_of_service_domains
+            and not self.is_rolled_back(server)
         )
 
+    def is_rolled_back(self, server: FleetServer) -> bool:
+        """Returns whether the latest rollout rolled back the version of a server."""
+        rollout = self.rollouts.get(server.pool)
+        if rollout is None or rollout.state is not RolloutState.ROLLED_BACK:
+            return False
+        return self.get_version(server) == rollout.version
+
     def apply(self, delta: FleetDelta) -> list:
         """Applies the next delta and returns its changes.
 
@@ -207,10 +228,15 @@
 
 
 class FleetState(StateMachine):
-    """The view, and the source text of each item as the operator submitted it."""
+    """The view, and the source text of each item as the operator submitted it.
+
+    Attributes:
+        command_level: Level of the commands that all members of the group understand.
+    """
 
     def __init__(self):
         self.view = FleetView()
+        self.command_level = 0
         self._sources: dict[tuple[ItemKind, str], str] = {}
 
     def list_sources(self) -> list[tuple[ItemKind, str, str]]:
@@ -241,17 +267,22 @@
     def pack(self) -> bytes:
         """Returns the state, serialized."""
         rows = [[kind.value, name, text] for kind, name, text in self.list_sources()]
-        return msgpack.packb([self.view.pack(), rows])
+        values: list = [self.view.pack(), rows]
+        if self.command_level:
+            # Members of level 0 read exactly two values.
+            values.append(self.command_level)
+        return msgpack.packb(values)
 
     @classmethod
     def unpack(cls, data: bytes) -> "FleetState":
         """Returns the state that `pack` serialized; see `StateMachine`."""
         state = cls()
         try:
-            view, rows = msgpack.unpackb(data)
+            view, rows, *levels = msgpack.unpackb(data)
         except (ValueError, TypeError) as error:
             raise DamagedFrame(f"state cannot be decoded: {error!r}") from error
         state.view = FleetView.unpack(view)
+        state.command_level = levels[0] if levels else 0
         for kind, name, text in rows:
             state._sources[ItemKind(kind), name] = text
         return state
@@ -277,6 +308,15 @@
                 return self._remove_server(command.server, command.born)
             case AssignKeys():
                 return self._assign_keys(index, command)
+            case RolloutStarted():
+                return start_rollout(self.view, index, command)
+            case RolloutAdvanced():
+                return advance_rollout(self.view, command)
+            case ServerVersionSet():
+                return set_version(self.view, command)
+            case CommandLevelRaised():
+                self.command_level = max(self.command_level, command.level)
+                return []
 
     def _change_items(self, command: ChangeItems) -> list:
         changes = [messages.decode(change) for change in command.changes]
@@ -289,7 +329,18 @@
                 self._sources.pop(key, None)
                 continue
             self._sources[key] = sources[key]
-        return [*newer, *self._update_key_tables(newer)]
+        return [
+            *self._end_dropped_rollouts(newer),
+            *newer,
+            *self._update_key_tables(newer),
+        ]
+
+    def _end_dropped_rollouts(self, changes: list[Item | ItemRemoved]) -> list:
+        ended = []
+        for change in changes:
+            if isinstance(change, ItemRemoved) and change.kind is ItemKind.POOL:
+                ended += end_dropped_rollout(self.view, PoolId(change.name))
+        return ended
 
     def _update_key_tables(
         self, changes: list[Item | ItemRemoved]
