Decide the steps and the end of a rollout from the entries' counts

The share of the target version has to be raised on evidence, and a bad version has to be found before it exceeds its exposure. The comparison and the decisions are separate from I/O, with the clock handed in.

--- /dev/null
+++ b/src/monsoonlug/rollout_decisions.py
@@ -0,0 +1,417 @@
+"""Decides the share of requests for a rollout's target version, and its end.
+
+The decisions need no I/O: the time, the order, the servers and the entries' counts are
+handed in. They respond to the load of a pool, as the exposure that is permitted depends
+on the requests that reach it. Times are Unix seconds, as the deadline is in the log.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from monsoonlug.rollout_messages import Rollout, RolloutReport, RolloutState
+from monsoonlug.rollout_reports import (
+    OTHERS,
+    TARGET,
+    ReportTotals,
+    RouteCounts,
+    subtract_counts,
+    sum_counts,
+)
+from monsoonlug.version_comparison import (
+    COLD_SECONDS,
+    MIN_SOUND_RESPONSES,
+    Comparison,
+    Verdict,
+    Window,
+    compare_versions,
+)
+
+# Seconds that the entries' counts and views lag behind: 0.2 between two reports, 0.1
+# until the next decision, 0.1 for the commit and its delta.
+REACTION_TIME = 0.4
+CANARY_PART = 0.5  # of the permitted exposure that the canary may use
+START_SHARE = 0.02  # while the request rate is unknown
+MAX_CANARY_SHARE = 0.5
+MIN_CANARY_TIME = 2.0  # seconds over which the canary's exposure is spread at least
+CANARY_INTERVAL = 1.0  # seconds between two changes of the canary's share
+MIN_SHARE_CHANGE = 0.25  # of the canary's share
+HEADROOM_SECONDS = 1.0  # for which the canary's exposure is planned ahead
+# Seconds before the deadline and shares of the last steps. Moving keys takes 2 to 4 s;
+# a request runs up to about 1 s.
+STEPS = ((2.8, 0.15), (1.9, 0.45), (1.1, 1.0))
+KEYED_STEPS = ((4.5, 0.3), (3.6, 1.0))
+MAX_STEP_PART = 0.3  # of the duration, which shortens the steps of a short rollout
+STEP_INTERVAL = 0.5  # seconds between two steps
+# Seconds before the deadline at which the rollout ends at the latest. The decisions run
+# every 0.25 s, and a commit and its delta should be through by the deadline.
+FINAL_MARGIN = 0.45
+COUNTS_MARGIN = 0.15  # seconds before the deadline until which counts are awaited
+QUIET_TIME = 1.0  # seconds without new requests, after which none runs at an old server
+MIN_QUIET_TIME = 0.5  # the same, if the reports say that none runs
+LEADER_DELAY = 1.0  # seconds in which a new leader does not raise the share
+PROPOSAL_TIMEOUT = 1.0  # seconds until a decision that is not in the view is repeated
+MIN_BASELINE = 100  # responses of other versions on a route in a window
+MIN_SAMPLE_INTERVAL = 0.09  # seconds
+RATE_WINDOW = 1.5  # seconds
+MIN_LIGHT_RESPONSES = 5  # that are enough where the exposure cannot be exceeded
+MAX_SPENT_PART = 0.8  # of the exposure, above which doubtful evidence stops the target
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutLimits:
+    """Bounds on what a bad version may do.
+
+    Attributes:
+        expose_share: Share of a pool's requests that it may get from the order to the
+            deadline.
+        expose_slack: Requests that it may get beyond that.
+        rollback: Seconds from its 50th bad response until it gets no new request.
+    """
+
+    expose_share: float
+    expose_slack: float
+    rollback: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolServers:
+    """Servers of a pool during its rollout.
+
+    Attributes:
+        targets: Servers of the target version that are in service.
+        warm_targets: Those of them that are not in their cold start.
+        others: Registered servers of other versions.
+        other_ranges: Key ranges that servers of other versions own.
+    """
+
+    is_keyed: bool
+    targets: int
+    warm_targets: int
+    others: int
+    other_ranges: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """A step or the end of a rollout, with the figures that decided it.
+
+    Attributes:
+        spent: Requests that the target version got, as far as is known or extrapolated.
+        permitted: Exposure that is permitted up to now.
+    """
+
+    state: RolloutState
+    share: float
+    reason: str
+    comparison: Comparison
+    spent: float
+    permitted: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Sample:
+    """Counts at one time.
+
+    Attributes:
+        server_weight: Sum of the target's responses, each times the number of servers
+            that shared the requests.
+    """
+
+    at: float
+    counts: RouteCounts
+    server_weight: float
+
+
+class RolloutDecider:
+    """Decides on one rollout during one term of a leader.
+
+    Args:
+        now: Time of the election or, later, of the order.
+        rollout: The rollout when the term or the rollout began.
+        limits: Bounds on a bad version.
+        is_new_leader: Whether the rollout was ordered in an earlier term.
+    """
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        rollout: Rollout,
+        limits: RolloutLimits,
+        is_new_leader: bool = False,
+    ):
+        self._limits = limits
+        self._deadline = rollout.ordered_at_ms / 1000 + rollout.duration
+        self._duration = rollout.duration
+        self._raise_from = now + LEADER_DELAY if is_new_leader else now
+        self._totals = ReportTotals()
+        self._samples: deque[_Sample] = deque()
+        self._server_weight = 0.0
+        self._share = rollout.share
+        self._share_changed_at = now
+        self._first_response_at = math.inf
+        self._proposed: tuple[RolloutState, float] | None = None
+        self._proposed_at = -math.inf
+
+    @property
+    def reports(self) -> int:
+        """Number of reports that were counted."""
+        return self._totals.reports
+
+    def record(self, report: RolloutReport) -> None:
+        """Counts a report of an entry, which `check_report` has checked."""
+        self._totals.record(report)
+
+    def decide(
+        self, now: float, rollout: Rollout, servers: PoolServers, *, may_raise: bool
+    ) -> Decision | None:
+        """Returns the step to propose now, or None.
+
+        Args:
+            now: Time in Unix seconds.
+            rollout: The rollout according to the leader's view; it is running.
+            servers: Servers of the pool.
+            may_raise: Whether a majority has confirmed the leader recently.
+        """
+        if rollout.share != self._share:
+            self._share = rollout.share
+            self._share_changed_at = now
+        self._add_sample(now, servers)
+        comparison = self._compare(now, servers)
+        state, share, reason = self._choose(now, servers, comparison)
+        is_raise = state is RolloutState.SUCCEEDED or share > self._share
+        is_blocked = not may_raise or (now < self._raise_from and now < self._deadline)
+        if is_raise and is_blocked and now < self._deadline - FINAL_MARGIN:
+            return None
+        if is_raise and not may_raise:
+            return None
+        wanted = (state, share)
+        if wanted == (RolloutState.RUNNING, self._share):
+            return None
+        if wanted == self._proposed and now - self._proposed_at < PROPOSAL_TIMEOUT:
+            return None
+        self._proposed, self._proposed_at = wanted, now
+        return Decision(
+            state=state,
+            share=share,
+            reason=reason,
+            comparison=comparison,
+            spent=self._estimate_spent(),
+            permitted=self._get_permitted(self._get_total()),
+        )
+
+    def _choose(
+        self, now: float, servers: PoolServers, comparison: Comparison
+    ) -> tuple[RolloutState, float, str]:
+        running, share = RolloutState.RUNNING, self._share
+        if comparison.verdict is Verdict.BAD:
+            return RolloutState.ROLLED_BACK, 0.0, "the target version is bad"
+        if servers.targets and not servers.others:
+            return RolloutState.SUCCEEDED, 1.0, "no server has another version"
+        if now >= self._deadline - FINAL_MARGIN:
+            return self._choose_end(now, servers, comparison)
+        if not servers.targets:
+            return running, 0.0, "no target server is in service"
+        if share >= 1:
+            is_doubtful = comparison.verdict is Verdict.DOUBTFUL
+            if self._is_quiet(now, servers) and not is_doubtful:
+                return RolloutState.SUCCEEDED, 1.0, "no request runs at an old server"
+            return running, share, ""
+        is_doubtful = comparison.verdict is not Verdict.SOUND
+        spent, permitted = self._estimate_spent(), self._get_permitted_by_end(now)
+        if is_doubtful and share and spent > MAX_SPENT_PART * permitted:
+            return running, 0.0, "the exposure is spent and the evidence doubtful"
+        steps = self._list_steps(servers)
+        if now >= self._deadline - steps[0][0]:
+            return running, *self._choose_step(now, steps, comparison)
+        if not servers.warm_targets:
+            return running, share, ""
+        return running, *self._choose_canary(now, self._deadline - steps[0][0])
+
+    def _choose_end(
+        self, now: float, servers: PoolServers, comparison: Comparison
+    ) -> tuple[RolloutState, float, str]:
+        verdict, steps = comparison.verdict, self._list_steps(servers)
+        has_counts = self._get_total() > 0
+        if self._share >= 1 and verdict is not Verdict.DOUBTFUL:
+            return RolloutState.SUCCEEDED, 1.0, "the deadline is near"
+        if self._share >= steps[0][1] and verdict is Verdict.SOUND:
+            return RolloutState.SUCCEEDED, 1.0, "the deadline is near"
+        if not has_counts and now < self._deadline - COUNTS_MARGIN:
+            return RolloutState.RUNNING, self._share, ""
+        if not has_counts and self._share >= steps[-2][1]:
+            # The previous leader took the last steps but one on sound evidence.
+            return RolloutState.SUCCEEDED, 1.0, "the deadline is near"
+        return RolloutState.ROLLED_BACK, 0.0, "too little evidence by the deadline"
+
+    def _is_quiet(self, now: float, servers: PoolServers) -> bool:
+        """Returns whether the old servers can be stopped."""
+        if servers.is_keyed and servers.other_ranges:
+            return False
+        elapsed = now - self._share_changed_at
+        if elapsed >= QUIET_TIME:
+            return True
+        running = sum_counts(self._totals.sum(), OTHERS).running
+        return elapsed >= MIN_QUIET_TIME and self.reports > 0 and running == 0
+
+    def _list_steps(self, servers: PoolServers) -> list[tuple[float, float]]:
+        steps = KEYED_STEPS if servers.is_keyed else STEPS
+        scale = min(1.0, MAX_STEP_PART * self._duration / steps[0][0])
+        return [(scale * seconds, share) for seconds, share in steps]
+
+    def _choose_step(
+        self, now: float, steps: list[tuple[float, float]], comparison: Comparison
+    ) -> tuple[float, str]:
+        if comparison.verdict is not Verdict.SOUND:
+            return self._share, ""
+        is_first = self._share < steps[0][1]
+        if not is_first and now - self._share_changed_at < STEP_INTERVAL:
+            return self._share, ""
+        for seconds, share in steps:
+            if share <= self._share:
+                continue
+            if now < self._deadline - seconds:
+                break
+            return share, "the target version is sound so far"
+        return self._share, ""
+
+    def _choose_canary(self, now: float, until: float) -> tuple[float, str]:
+        rate = self._measure_rate(now)
+        if rate <= 0:
+            return max(self._share, START_SHARE), "target servers are warm"
+        limits = self._limits
+        total = self._get_total()
+        horizon = max(until - now, MIN_CANARY_TIME)
+        final = limits.expose_slack + limits.expose_share * (total + rate * horizon)
+        spent = self._estimate_spent()
+        planned = (CANARY_PART * final - spent) / (rate * horizon)
+        headroom = CANARY_PART * self._get_permitted(total) - spent
+        allowed = headroom / (rate * HEADROOM_SECONDS)
+        share = round(max(0.0, min(planned, allowed, MAX_CANARY_SHARE)), 4)
+        if not self._share:
+            return share, "target servers are warm"
+        change = abs(share - self._share) / self._share
+        is_recent = now - self._share_changed_at < CANARY_INTERVAL
+        if change < MIN_SHARE_CHANGE or is_recent:
+            return self._share, ""
+        return share, "the exposure permitted has changed"
+
+    # Counts.
+
+    def _add_sample(self, now: float, servers: PoolServers) -> None:
+        if self._samples and now - self._samples[-1].at < MIN_SAMPLE_INTERVAL:
+            return
+        counts = self._totals.sum()
+        responses = sum_counts(counts, TARGET).responses
+        previous = self._samples[-1].counts if self._samples else {}
+        added = responses - sum_counts(previous, TARGET).responses
+        self._server_weight += added * _count_exposed(servers, self._share)
+        if responses > 0 and self._first_response_at == math.inf:
+            self._first_response_at = now
+        sample = _Sample(at=now, counts=counts, server_weight=self._server_weight)
+        self._samples.append(sample)
+        # One sample is kept that is older than the longest window.
+        while (
+            len(self._samples) > 2 and self._samples[1].at < now - self._get_longest()
+        ):
+            self._samples.popleft()
+
+    def _get_longest(self) -> float:
+        return max(self._limits.rollback, RATE_WINDOW)
+
+    def _compare(self, now: float, servers: PoolServers) -> Comparison:
+        """Compares the versions in each window.
+
+        A window that shows a bad version decides. Otherwise the whole rollout does.
+        """
+        counts = self._samples[-1].counts
+        rollback = self._limits.rollback
+        for seconds in (rollback / 4, rollback / 2, rollback):
+            sample = self._find_sample(now - seconds)
+            if sample is None:
+                continue
+            window = self._build_window(now, sample.at, sample.server_weight)
+            part = self._cut_counts(counts, sample.counts)
+            found = compare_versions(part, window)
+            if found.verdict is Verdict.BAD:
+                return found
+        began = min(self._first_response_at, now)
+        window = self._build_window(now, began, 0.0)
+        minimum = MIN_SOUND_RESPONSES
+        if self._is_light(now):
+            minimum = MIN_LIGHT_RESPONSES
+        return compare_versions(counts, window, min_responses=minimum)
+
+    def _cut_counts(self, counts: RouteCounts, earlier: RouteCounts) -> RouteCounts:
+        """Returns the counts since earlier ones.
+
+        A route with few responses of other versions keeps the whole baseline. They
+        become few when the share is raised, and some failures are normal.
+        """
+        part = subtract_counts(counts, earlier)
+        for (version, route), row in part.items():
+            if version == OTHERS and row.responses < MIN_BASELINE:
+                part[version, route] = counts[version, route]
+        return part
+
+    def _build_window(self, now: float, began: float, server_weight: float) -> Window:
+        responses = sum_counts(self._samples[-1].counts, TARGET).responses
+        for sample in self._samples:
+            if sample.at == began:
+                responses -= sum_counts(sample.counts, TARGET).responses
+                break
+        weight = self._server_weight - server_weight
+        return Window(
+            seconds=now - began,
+            servers=weight / responses if responses > 0 else 1.0,
+            is_cold=began < self._first_response_at + COLD_SECONDS,
+        )
+
+    def _find_sample(self, at: float) -> _Sample | None:
+        """Returns the last sample that is not later than a time."""
+        found = None
+        for sample in self._samples:
+            if sample.at > at:
+                break
+            found = sample
+        return found
+
+    def _measure_rate(self, now: float) -> float:
+        """Returns the requests per second that reach the pool, or 0 if unknown."""
+        sample = self._find_sample(now - RATE_WINDOW) or self._samples[0]
+        elapsed = self._samples[-1].at - sample.at
+        if elapsed <= 0:
+            return 0.0
+        added = subtract_counts(self._samples[-1].counts, sample.counts)
+        return sum(row.sent for row in added.values()) / elapsed
+
+    def _get_total(self) -> float:
+        return sum(row.sent for row in self._samples[-1].counts.values())
+
+    def _estimate_spent(self) -> float:
+        """Returns the target's requests, including those that are not reported yet."""
+        now = self._samples[-1].at
+        sent = sum_counts(self._samples[-1].counts, TARGET).sent
+        return sent + self._share * self._measure_rate(now) * REACTION_TIME
+
+    def _get_permitted(self, total: float) -> float:
+        return self._limits.expose_slack + self._limits.expose_share * total
+
+    def _get_permitted_by_end(self, now: float) -> float:
+        left = max(0.0, self._deadline - now)
+        return self._get_permitted(self._get_total() + self._measure_rate(now) * left)
+
+    def _is_light(self, now: float) -> bool:
+        """Returns whether all further requests stay within the permitted exposure."""
+        left = max(0.0, self._deadline - now)
+        expected = self._estimate_spent() + self._measure_rate(now) * left
+        return expected <= self._get_permitted_by_end(now)
+
+
+def _count_exposed(servers: PoolServers, share: float) -> float:
+    """Returns how many target servers share the requests for the target version.
+
+    Requests go to so many that each gets as much load as it would get at the end.
+    """
+    return max(1.0, math.ceil(share * servers.targets))
