Move keys, order rollouts and run their decisions at the leader

Control had no call to order a rollout, did not know the versions of servers, and moved keys regardless of them. Heartbeats now name a version, which is replicated once all members of the group understand the command. Below share 1 directed moves give keys to a few target servers, at share 1 all keys go there.

Run: test_rollout_keys, test_registrar, test_rollout_state, test_hotspots, test_server_rest, test_publisher, test_docs, test_platform, test_previous_build, test_malformed_messages and test_balancing.

--- a/src/monsoonlug/exceptions.py
+++ b/src/monsoonlug/exceptions.py
@@ -431,6 +431,27 @@
     status = 404
 
 
+class RolloutConflict(MonsoonlugError):
+    """A rollout of the pool to another version is running."""
+
+    code = "rollout-conflict"
+    status = 409
+
+
+class RolloutNotFound(MonsoonlugError):
+    """The pool never had a rollout."""
+
+    code = "rollout-not-found"
+    status = 404
+
+
+class RolloutUnavailable(MonsoonlugError):
+    """Rollouts cannot be ordered at the moment."""
+
+    code = "rollout-unavailable"
+    status = 503
+
+
 def list_errors() -> list[type[MonsoonlugError]]:
     """Returns every error class of this module, in the order of definition.
 
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -13,6 +12,7 @@
 from monsoonlug import messages
 from monsoonlug.actions import ReadIndexConfirmed, RoleChanged
 from monsoonlug.clocks import read_clock
+from monsoonlug.command_levels import CommandLevels
 from monsoonlug.consensus import Replica
 from monsoonlug.consensus_timing import ConsensusTiming
 from monsoonlug.daemons import DaemonService
@@ -30,13 +30,22 @@
 from monsoonlug.ids import FailureDomain, ReplicaId, ServerId
 from monsoonlug.items import Item, ItemKind, ItemRemoved
 from monsoonlug.journal import FileStorage
-from monsoonlug.links import Link, Listener
+from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
 from monsoonlug.membership import Members
 from monsoonlug.membership_manager import MembershipManager
+from monsoonlug.peer_links import PeerLinks
 from monsoonlug.peer_messages import VoteRequest
 from monsoonlug.prometheus_metrics import PrometheusMetrics
 from monsoonlug.publisher import Publisher
+from monsoonlug.rollout_calls import RolloutCalls
+from monsoonlug.rollout_control import RolloutController, add_rollout_metrics
+from monsoonlug.rollout_decisions import RolloutLimits
+from monsoonlug.rollout_messages import (
+    COMMAND_LEVEL,
+    CommandLevelRaised,
+    MemberCapabilities,
+)
 from monsoonlug.streams import MessageStream
 
 ROLE = "control"
@@ -69,6 +78,7 @@
         may_bootstrap: Whether the seeds may form a new group.
         server_heartbeat_interval: Seconds between two heartbeats of a backend server.
         metrics_address: Address that serves metrics, or None.
+        rollouts: Bounds on a bad version, or None if rollouts are not in use.
     """
 
     stream: str
@@ -77,60 +87,7 @@
     may_bootstrap: bool
     server_heartbeat_interval: float
     metrics_address: str | None = None
-
-
-class PeerLinks(Mapping[ReplicaId, Link]):
-    """Streams to other replicas, opened on first use.
-
-    Args:
-        own: Stream address of this replica.
-        random: Source of the jitter of the reconnect delays.
-        spawn: Runs a coroutine in the background.
-        on_message: Called with each message from a peer.
-    """
-
-    def __init__(
-        self,
-        *,
-        own: str,
-        random: Random,
-        spawn: Callable[..., asyncio.Task],
-        on_message: Callable[[object], None],
-    ):
-        self._own = own
-        self._random = random
-        self._spawn = spawn
-        self._on_message = on_message
-        self._links: dict[ReplicaId, Link] = {}
-        self._tasks: dict[ReplicaId, asyncio.Task] = {}
-
-    def __getitem__(self, name: ReplicaId) -> Link:
-        if name == self._own:
-            raise KeyError(name)
-        link = self._links.get(name)
-        if link is None:
-            link = Link(
-                address=name,
-                role=ROLE,
-                sender=self._own,
-                on_message=self._on_message,
-                random=self._random,
-            )
-            self._links[name] = link
-            self._tasks[name] = self._spawn(link.run())
-        return link
-
-    def __iter__(self):
-        return iter(self._links)
-
-    def __len__(self) -> int:
-        return len(self._links)
-
-    def retain(self, names: Iterable[ReplicaId]) -> None:
-        """Closes the streams to all replicas that are not in `names`."""
-        for name in set(self._links) - set(names):
-            del self._links[name]
-            self._tasks.pop(name).cancel()
+    rollouts: RolloutLimits | None = None
 
 
 class FleetControlService(DaemonService):
@@ -148,6 +105,15 @@
         self._contacts: tuple[ReplicaId, ...] = ()
         self._random = Random()
         self.metrics = PrometheusMetrics()
+        self._levels = CommandLevels(own=ReplicaId(settings.stream))
+        self._rollouts: RolloutController | None = None
+        self.rollouts = RolloutCalls(
+            is_configured=settings.rollouts is not None,
+            check_leader=self._get_registrar,
+            commit=self._commit,
+            confirm=self.confirm_leadership,
+            find_state=lambda: self._group.state,
+        )
 
     async def on_start(self) -> None:
         """Opens the data folder and starts listening."""
@@ -156,13 +122,20 @@
         self._open_replica()
         self._links = PeerLinks(
             own=settings.stream,
+            role=ROLE,
             random=self._random,
             spawn=self._create_task,
             on_message=self._receive_from_peer,
         )
+        if settings.rollouts is not None:
+            self._rollouts = RolloutController(
+                limits=settings.rollouts, read_time=time.time
+            )
+            self._spawn(self._run_periodically(DECISION_INTERVAL, self._update_level))
         self._publisher = Publisher(
             clock=read_clock,
             server_heartbeat_interval=settings.server_heartbeat_interval,
+            rollouts=self._rollouts,
         )
         self._group = ControlGroup(
             replica=self._replica,
@@ -374,6 +347,10 @@
         add_gauge("term", "Term of the group.", lambda: self._replica.term)
         add_gauge("revision", "Revision.", lambda: self._group.state.view.revision)
         add_gauge("entries", "Connected entries.", lambda: self._publisher.subscribers)
+        if self._rollouts is not None:
+            add_rollout_metrics(
+                self.metrics, self._rollouts, lambda: self._group.state.view
+            )
         if self._settings.metrics_address is not None:
             await self.metrics.start(self._settings.metrics_address)
 
@@ -400,6 +377,7 @@
     # Events of the group and streams of its members.
 
     def _handle_role(self, change: RoleChanged) -> None:
+        self._levels.reset()
         self._publisher.change_role(change)
 
     def _handle_round(self, confirmed: ReadIndexConfirmed) -> None:
@@ -431,6 +409,9 @@
             logger.debug("Stream from {} closed.", stream.peer)
 
     def _receive(self, stream: MessageStream, message: object) -> None:
+        if isinstance(message, MemberCapabilities):
+            self._levels.record(ReplicaId(stream.peer), message.level)
+            return
         members = self._replica.members
         is_member = members.find(ReplicaId(stream.peer)) is not None
         if isinstance(message, VoteRequest) and members.members and not is_member:
@@ -439,6 +420,25 @@
             stream.send(GroupMembers(members=names))
         self._group.receive(stream.peer, message)
 
+    def _update_level(self) -> None:
+        """Reports this replica's command level, or raises that of the group."""
+        now, leader = read_clock(), self._group.leader
+        if self._levels.must_report(now, leader):
+            link = self._links.get(leader)
+            if link is not None and link.send(MemberCapabilities(level=COMMAND_LEVEL)):
+                self._levels.record_sent(now, leader)
+        if self._publisher.registrar is None or not self._group.is_leader:
+            return
+        members = [member.replica_id for member in self._replica.members.members]
+        level = self._levels.find_common(members)
+        if level <= self._group.state.command_level:
+            return
+        logger.info("All members understand the commands of level {}.", level)
+        try:
+            self._group.propose_all([CommandLevelRaised(level=level)])
+        except NotLeader:
+            logger.info("Did not raise the command level: not the leader any more.")
+
     def _is_responsive(self, replica: ReplicaId, seconds: float) -> bool:
         if replica == self._settings.stream:
             return True
--- a/src/monsoonlug/heartbeats.py
+++ b/src/monsoonlug/heartbeats.py
@@ -21,6 +21,7 @@
         held: Start, end and epoch of the ranges that it holds or still
             processes requests for.
         freed: Start, end and handover token of the ranges that it released.
+        version: Software version of the server; empty if it names none.
     """
 
     server: ServerId
@@ -34,6 +35,7 @@
     cold_seconds: float
     held: tuple[tuple[int, int, int], ...] = ()
     freed: tuple[tuple[int, int, str], ...] = ()
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -32,6 +32,8 @@
     read_text,
     read_version,
 )
+from monsoonlug.rollout_calls import MAX_VERSION_LENGTH
+from monsoonlug.rollout_messages import Rollout, RolloutState
 
 _ITEM_KINDS = {
     "routes": ItemKind.ROUTE,
@@ -40,6 +42,11 @@
     "limits": ItemKind.LIMITS,
 }
 _IDEMPOTENT_BY_TYPE = {"safe": True, "unsafe": False}
+_STATE_NAMES = {
+    RolloutState.RUNNING: "running",
+    RolloutState.SUCCEEDED: "succeeded",
+    RolloutState.ROLLED_BACK: "rolled_back",
+}
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 MAX_HEARTBEAT_BYTES = 262_144
 MAX_SLOTS = 65_536  # of one server
@@ -79,9 +86,31 @@
         cold_seconds=_read_cold_seconds(document),
         held=_read_held_ranges(document),
         freed=_read_freed_ranges(document),
+        version=_read_server_version(document),
     )
 
 
+def read_order(body: bytes) -> tuple[PoolId, str, float]:
+    """Parses the order of a rollout.
+
+    Returns:
+        The pool, the target version and the duration in seconds.
+
+    Raises:
+        BadRequest: If a field is missing or invalid.
+    """
+    document = read_object(body)
+    pool = PoolId(read_text(document, "service"))
+    version = read_text(document, "targetVersion")
+    return pool, version, read_seconds(document, "duration")
+
+
+def build_rollout(rollout: Rollout) -> bytes:
+    """Builds the response body that describes a rollout."""
+    state = _STATE_NAMES[rollout.state]
+    return json.dumps({"state": state, "targetVersion": rollout.version}).encode()
+
+
 def read_server_name(text: str) -> ServerId:
     """Checks the id of a server, which is sent to it in a header.
 
@@ -137,6 +166,17 @@
     return b'{"resources":[' + entries.encode() + b"]}"
 
 
+def _read_server_version(document: dict) -> str:
+    if document.get("version", "") == "":
+        return ""
+    version = read_text(document, "version")
+    if len(version) > MAX_VERSION_LENGTH:
+        raise BadRequest(
+            f"the field version is longer than {MAX_VERSION_LENGTH} characters"
+        )
+    return version
+
+
 def _read_born(document: dict) -> int:
     # Not all servers send their start time; 0 stands for an unknown one.
     if "born" not in document:
--- a/src/monsoonlug/platform/interface.py
+++ b/src/monsoonlug/platform/interface.py
@@ -10,14 +10,19 @@
     InternalError,
     MonsoonlugError,
     NotLeader,
+    RolloutConflict,
+    RolloutNotFound,
+    RolloutUnavailable,
 )
 from monsoonlug.fleet_control import FleetControlService
-from monsoonlug.ids import FailureDomain
+from monsoonlug.ids import FailureDomain, PoolId
 from monsoonlug.logs import get_logger
 from monsoonlug.platform.documents import (
     build_heartbeat_answer,
     build_items,
+    build_rollout,
     read_heartbeat,
+    read_order,
     read_patch,
     read_server_name,
 )
@@ -29,6 +34,15 @@
 READ_PATH = "/monsoonlug/Config.Get"
 TAKE_OUT_PATH = "/monsoonlug/Evacuations.Start/{domain}"
 BRING_BACK_PATH = "/monsoonlug/Evacuations.End/{domain}"
+ORDER_PATH = "/monsoonlug/Rollouts.Start"
+ROLLOUT_PATH = "/monsoonlug/Rollouts.Get/{service}"
+REFUSALS = (
+    BadRequest,
+    ControlUnreachable,
+    RolloutConflict,
+    RolloutNotFound,
+    RolloutUnavailable,
+)
 MAX_BODY_BYTES = 32 * 1_048_576
 
 logger = get_logger("interface")
@@ -58,6 +72,8 @@
                 web.get(READ_PATH, self._handle_errors(self._read)),
                 web.post(TAKE_OUT_PATH, self._handle_errors(self._take_out)),
                 web.post(BRING_BACK_PATH, self._handle_errors(self._bring_back)),
+                web.post(ORDER_PATH, self._handle_errors(self._order)),
+                web.get(ROLLOUT_PATH, self._handle_errors(self._read_rollout)),
             ]
         )
         runner = web.AppRunner(app, access_log=None)
@@ -80,7 +96,7 @@
             except NotLeader as error:
                 outcome = error.code
                 return self._redirect(request)
-            except (BadRequest, ControlUnreachable) as error:
+            except REFUSALS as error:
                 outcome = error.code
                 logger.info(
                     "Refused call {}: {} ({}).", request.path, error.code, error
@@ -118,6 +134,19 @@
         sources = await self._control.list_items()
         return web.Response(body=build_items(sources), content_type="application/json")
 
+    async def _order(self, request: web.Request) -> web.Response:
+        self._control.rollouts.check_configured()
+        order = read_order(await request.read())
+        await self._control.rollouts.start(*order)
+        return web.json_response({})
+
+    async def _read_rollout(self, request: web.Request) -> web.Response:
+        pool = PoolId(request.match_info["service"])
+        rollout = await self._control.rollouts.read(pool)
+        return web.Response(
+            body=build_rollout(rollout), content_type="application/json"
+        )
+
     async def _take_out(self, request: web.Request) -> web.Response:
         return await self._set_domain(request, in_service=False)
 
--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the platform's settings file of a process."""
 
 import json
+import math
 from pathlib import Path
 
 from monsoonlug.exceptions import BadRequest, InvalidFile, Problem
@@ -8,10 +9,13 @@
 from monsoonlug.fleet_entry import FleetEntrySettings
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.platform.fields import JSON_TYPE_NAMES, parse_seconds
+from monsoonlug.rollout_decisions import RolloutLimits
 from monsoonlug.settings import split_address
 
 SETTINGS_VARIABLE = "MONSOONLUG_NODE_FILE"
 READINESS_PATH = "/monsoonlug/readyz"
+DEFAULT_EXPOSE_SLACK = "50"
+DEFAULT_ROLLBACK = "5000ms"
 METRICS_PORT = 9464  # as in deploy/system.toml
 DEFAULT_HEARTBEAT_INTERVAL = "1s"
 DISABLED_BOUND = "86400s"  # in place of a bound that is not enforced
@@ -56,6 +60,7 @@
                 "heartbeat", DEFAULT_HEARTBEAT_INTERVAL
             ),
             metrics_address=self._read_metrics_address(),
+            rollouts=self._read_rollout_limits(),
         )
         self._raise_problems()
         return settings
@@ -128,6 +133,31 @@
             bounds[name] = value
         return bounds
 
+    def _read_rollout_limits(self) -> RolloutLimits | None:
+        # Control reads the bounds for rollouts only; earlier settings may lack them.
+        if not isinstance(self._document.get("bounds"), list):
+            return None
+        bounds = self._read_bounds()
+        if "exposeShare" not in bounds:
+            return None
+        slack = bounds.get("exposeSlack", DEFAULT_EXPOSE_SLACK)
+        rollback = bounds.get("rollback", DEFAULT_ROLLBACK)
+        return RolloutLimits(
+            expose_share=self._parse_number(bounds["exposeShare"], maximum=1.0),
+            expose_slack=self._parse_number(slack),
+            rollback=self._parse_seconds("bounds", rollback),
+        )
+
+    def _parse_number(self, text: str, *, maximum: float = math.inf) -> float:
+        try:
+            number = float(text)
+        except ValueError:
+            number = math.nan
+        if math.isfinite(number) and 0 <= number <= maximum:
+            return number
+        self._add_problem("bounds", text, f"a number from 0 to {maximum}")
+        return 0.0
+
     def _read_seconds(self, name: str, default: str) -> float:
         return self._parse_seconds(name, self._document.get(name) or default)
 
--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -1,10 +1,12 @@
 """Prometheus metrics of a daemon, served on a separate address."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
+from prometheus_client.metrics_core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 from monsoonlug.settings import split_address
 
@@ -27,6 +29,30 @@
 )  # seconds; the latency objectives of the routes are between 0.3 and 0.8
 
 
+class _LabelledGauges(Collector):
+    """Gauges with one label, all of which are read whenever they are scraped."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ):
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Yields the gauges for one scrape."""
+        family = GaugeMetricFamily(self._name, self._help_text, labels=[self._label])
+        for value, number in self._read().items():
+            family.add_metric([value], number)
+        yield family
+
+
 class PrometheusMetrics:
     """Counters, histograms and gauges of one daemon."""
 
@@ -68,6 +94,19 @@
         gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
         gauge.set_function(read)
 
+    def add_gauges(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Adds gauges by the values of one label, read whenever they are scraped."""
+        collector = _LabelledGauges(
+            name=f"monsoonlug_{name}", help_text=help_text, label=label, read=read
+        )
+        self._registry.register(collector)
+
     async def start(self, address: str) -> None:
         """Starts serving the metrics."""
         app = web.Application()
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -46,6 +46,8 @@
 from monsoonlug.rates import GlobalRateLimiter, list_limits
 from monsoonlug.registrar import Registrar
 from monsoonlug.request_limits import LimitReport
+from monsoonlug.rollout_control import RolloutController
+from monsoonlug.rollout_messages import COMMAND_LEVEL, RolloutReport
 from monsoonlug.subscribers import Subscriber, SubscriberStreams
 
 MAX_KEPT_DELTAS = 500  # an entry that lags further gets the whole view
@@ -75,11 +77,19 @@
     Args:
         clock: Monotonic clock, in seconds.
         server_heartbeat_interval: Seconds between two heartbeats of a backend server.
+        rollouts: Decides on rollouts, or None if they are not in use.
     """
 
-    def __init__(self, *, clock: Callable[[], float], server_heartbeat_interval: float):
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        server_heartbeat_interval: float,
+        rollouts: RolloutController | None = None,
+    ):
         super().__init__(clock=clock, max_unsent_bytes=MAX_UNSENT_BYTES)
         self.registrar: Registrar | None = None
+        self._rollouts = rollouts
         self._former_owners = FormerOwners()
         self._rate_limiter: GlobalRateLimiter | None = None
         self._crash_tracker = CrashTracker()
@@ -106,6 +116,28 @@
         self._update_live_rows(now)
         self._send_verdicts(now)
         self.send_notices()
+        if self._rollouts is not None and self._rollouts.is_active:
+            self.read_index_queue.run_after_round(self._decide_rollouts)
+
+    def _decide_rollouts(self) -> None:
+        """Proposes the decisions on rollouts."""
+        if self.registrar is None or not self.group.is_leader:
+            return
+        now = self._clock()
+        age = now - self.group.replica.confirmed_at()
+        commands = self._rollouts.decide(
+            now, self._view, self.registrar, may_raise=age <= MAX_CONFIRMATION_AGE
+        )
+        if not commands:
+            return
+        try:
+            self.group.propose_all(commands)
+        except NotLeader:
+            logger.info("Did not propose steps of rollouts: not the leader any more.")
+
+    def _stores_versions(self) -> bool:
+        level = self.group.state.command_level
+        return self._rollouts is not None and level >= COMMAND_LEVEL
 
     def send_notices(self) -> None:
         """Sends the registrar's notices to all entries.
@@ -156,6 +188,8 @@
         self._entries = {}
         self._live_rows = []
         self._ready_batch = []
+        if self._rollouts is not None:
+            self._rollouts.reset()
         for subscriber in self._subscribers:
             subscriber.sent_revision = None
             subscriber.live_hosts_sent = False
@@ -177,7 +211,10 @@
                 view=view,
                 heartbeat_interval=self._server_heartbeat_interval,
                 former_owners=self._former_owners,
+                stores_versions=self._stores_versions,
             )
+            if self._rollouts is not None:
+                self._rollouts.begin(view)
             self._rate_limiter = GlobalRateLimiter(now=now)
             self._rate_limiter.configure(now, list_limits(view.items))
             logger.info(
@@ -198,6 +235,8 @@
         if self.registrar is not None:
             changes = [messages.decode(change) for change in packed]
             self.registrar.apply_committed(self._clock(), command, changes)
+            if self._rollouts is not None:
+                self._rollouts.apply_committed(changes)
             if any(isinstance(change, Item) for change in changes):
                 self._rate_limiter.configure(
                     self._clock(), list_limits(self._view.items)
@@ -268,6 +307,9 @@
             case FleetHeartbeat():
                 check_heartbeat(message)
                 self._handle_heartbeat(subscriber, message)
+            case RolloutReport():
+                if self._rollouts is not None and self._rollouts.record(message):
+                    self._decide_rollouts()
             case FleetTokenRequest():
                 check_wanted_tokens(message.wanted)
                 # Without a recent majority, a deposed leader could grant tokens at the
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -9,7 +9,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
 from monsoonlug import messages
@@ -46,6 +46,16 @@
 from monsoonlug.logs import get_logger
 from monsoonlug.releases import Release, find_release
 from monsoonlug.request_limits import FleetLimits
+from monsoonlug.rollout_decisions import PoolServers
+from monsoonlug.rollout_keys import (
+    describe_servers,
+    find_running_rollout,
+    must_release,
+    plan_canary_moves,
+    plan_version,
+    split_candidates,
+)
+from monsoonlug.rollout_messages import Rollout
 
 # Milliseconds by which the times of day of a server and of control may differ.
 MAX_CLOCK_SKEW_MS = 1_000
@@ -125,11 +135,15 @@
     Attributes:
         candidates: Servers that may own keys, with the effect of all choices since
             `candidates_at`.
+        canaries: Servers of a rollout's target version that may own some of the keys.
+        canary_moves: Planned moves to the canaries.
     """
 
     loads: KeyLoads = field(default_factory=KeyLoads)
     planned_moves: list[RangeMove] = field(default_factory=list)
     candidates: dict[ServerId, ServerLoad] = field(default_factory=dict)
+    canaries: dict[ServerId, ServerLoad] = field(default_factory=dict)
+    canary_moves: list[RangeMove] = field(default_factory=list)
     candidates_at: float = -math.inf
     releases: list[Release] = field(default_factory=list)
     last_joined_at: float = 0.0
@@ -143,6 +157,7 @@
         view: The replicated view, which is only read here.
         heartbeat_interval: Seconds between two heartbeats of a server.
         former_owners: Owners of keys whose table was dropped; updated by the caller.
+        stores_versions: Returns whether software versions of servers are replicated.
 
     Attributes:
         limits: Request limits of the servers, as the entries report them.
@@ -155,6 +170,7 @@
         view: FleetView,
         heartbeat_interval: float,
         former_owners: FormerOwners,
+        stores_versions: Callable[[], bool] = lambda: False,
     ):
         self._view = view
         self._heartbeat_interval = heartbeat_interval
@@ -169,6 +185,7 @@
         self.limits = FleetLimits()
         self._first_epoch = view.revision
         self._former_owners = former_owners
+        self._stores_versions = stores_versions
         for record in view.servers.values():
             # The previous leader may have renewed every lease just before it lost its
             # role.
@@ -234,6 +251,8 @@
             or process.has_left
             or _is_leaving(record, heartbeat),
         )
+        if self._stores_versions():
+            commands += plan_version(self._view, updated, heartbeat.version)
         if updated != record:
             _log_change(record, updated)
             commands.append(PutServer(record=messages.encode(updated)))
@@ -345,6 +364,8 @@
         for change in changes:
             if isinstance(change, KeyTableChanged):
                 self._get_plan(change.pool).releases = []
+            if isinstance(change, Rollout):
+                self._get_plan(change.pool).candidates_at = -math.inf
             if not isinstance(change, KeysAssigned) or covers_all_keys(change):
                 continue
             plan = self._get_plan(change.pool)
@@ -403,11 +424,12 @@
         for pool, table in self._view.tables.items():
             plan = self._get_plan(pool)
             plan.loads.decay(now)
-            candidates = self._list_candidates(now, pool, table)
-            plan.candidates = candidates
-            plan.candidates_at = now
+            candidates = self._update_candidates(now, pool, table)
             commands += self._assign_unowned(now, pool, table, plan, candidates)
             plan.planned_moves = self._plan_moves(pool, table, plan, candidates)
+            plan.canary_moves = plan_canary_moves(
+                self._view, table, plan.loads, plan.releases, plan.canaries
+            )
         commands += self._remove_silent_servers(now)
         commands += self._drain_leaving_servers()
         for server, limit, senders in self.limits.take_changes(now):
@@ -415,6 +437,17 @@
             self._notices.append(notice)
         return commands
 
+    def describe_pool(self, now: float, pool: PoolId) -> PoolServers:
+        """Returns what the decisions on a rollout need to know of a pool's servers."""
+        usable, warm = set(), set()
+        for server, process in self._processes.items():
+            if process.has_left or self._is_silent(now, process):
+                continue
+            usable.add(server)
+            if process.cold_until <= now:
+                warm.add(server)
+        return describe_servers(self._view, pool, usable=usable, warm=warm)
+
     def _is_outdated(
         self,
         heartbeat: ServerHeartbeat,
@@ -464,8 +497,7 @@
         """
         plan = self._get_plan(pool)
         if now - plan.candidates_at > MAX_CANDIDATES_AGE:
-            plan.candidates = self._list_candidates(now, pool, table)
-            plan.candidates_at = now
+            self._update_candidates(now, pool, table)
         usable = {}
         for server, candidate in plan.candidates.items():
             record = self._view.servers.get(server)
@@ -476,6 +508,15 @@
                 usable[server] = candidate
         return usable
 
+    def _update_candidates(
+        self, now: float, pool: PoolId, table: KeyTable
+    ) -> dict[ServerId, ServerLoad]:
+        plan = self._get_plan(pool)
+        candidates = self._list_candidates(now, pool, table)
+        plan.candidates, plan.canaries = split_candidates(self._view, pool, candidates)
+        plan.candidates_at = now
+        return plan.candidates
+
     def _list_candidates(
         self, now: float, pool: PoolId, table: KeyTable
     ) -> dict[ServerId, ServerLoad]:
@@ -735,9 +776,8 @@
         if self._must_release_all(now, record, process, table):
             moves = self._list_releasable(record, process, table)
         elif process.lease.is_trusted:
-            moves = [
-                item for item in plan.planned_moves if item.source == record.server
-            ]
+            planned = [*plan.canary_moves, *plan.planned_moves]
+            moves = [item for item in planned if item.source == record.server]
         else:
             return
         if not moves:
@@ -755,7 +795,10 @@
                 continue
             may_defer = not is_urgent and process.deferrals < MAX_DEFERRALS
             rate = plan.loads.sum_between(start, end)
-            target = self._choose_target(now, candidates, rate, may_defer)
+            if item in plan.canary_moves:
+                target = self._choose_target(now, plan.canaries, rate, False)
+            else:
+                target = self._choose_target(now, candidates, rate, may_defer)
             if target is None:
                 continue
             target.utilization += rate * target.cost
@@ -763,8 +806,9 @@
             target.range_count += 1
             if source is not None:
                 source.utilization -= rate * source.cost
-            if item in plan.planned_moves:
-                plan.planned_moves.remove(item)
+            for planned in (plan.planned_moves, plan.canary_moves):
+                if item in planned:
+                    planned.remove(item)
             plan.releases.append(
                 Release(
                     start=start, end=end, source=record.server, target=target.server
@@ -781,6 +825,11 @@
         """Returns whether a server should own no keys any more."""
         if not self._view.is_in_service(record):
             return True
+        if find_running_rollout(self._view, record.pool) is not None:
+            candidates = self._get_candidates(now, record.pool, table)
+            plan = self._get_plan(record.pool)
+            if must_release(self._view, record, candidates, plan.canaries):
+                return True
         return self._must_rest(now, record, process, table)
 
     def _list_releasable(
@@ -902,7 +951,9 @@
             else:
                 later = [r.start for r in plan.releases if start < r.start <= end]
                 end = min(later) - 1 if later else end
-            if release is not None and release.target in candidates:
+            if release is not None and (
+                release.target in candidates or release.target in plan.canaries
+            ):
                 rows.append(self._build_range(start, end, release.target, handover))
             else:
                 free = KeyRange(start=start, end=end, handover=handover)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -40,6 +40,10 @@
     "server-unreachable",
     "unknown-window",
     "unknown-report-route",
+    # Operators' calls on rollouts.
+    "rollout-conflict",
+    "rollout-not-found",
+    "rollout-unavailable",
 }
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,6 +26,7 @@
 SOURCE_FOLDER = Path(__file__).parent.parent / "src" / "monsoonlug"
 WIRE_NAME_PATTERN = re.compile(
     r"X-Monsoonlug|Instances\.|Config\.(Patch|Get)|Evacuations|warmupLeft|apiKeys"
+    r"|Rollouts\.|targetVersion|exposeShare|exposeSlack"
     r"|maxAttempts|trafficSplit|ratePerS|heartbeatUrl|resourceType|pathPrefix"
 )
 
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -51,6 +51,7 @@
             view=view,
             heartbeat_interval=PERIOD,
             former_owners=self.former_owners,
+            stores_versions=lambda: True,
         )
 
     def commit(self, commands):
@@ -87,6 +88,7 @@
             cold_seconds=fields.pop("cold", 0.0),
             held=tuple(held),
             freed=tuple(freed),
+            version=fields.pop("version", ""),
         )
         commands = self.registrar.handle_heartbeat(self.now, heartbeat)
         if commands is None:
