--- a/tests/write_previous_build.py
+++ b/tests/write_previous_build.py
@@ -42,7 +42,7 @@
 COMMANDS = 400
 CHECKPOINT = 50  # commands between two recorded states
 SNAPSHOT_INDEX = 250
-# Types that were added since eb6de7c. They are sent, and stored, only where rollouts are
+# Types that were added since eb6de7c. They are sent and stored only where rollouts are
 # configured; commands only after all members have reported that they know them.
 LATER_TYPES = frozenset(range(250, 257))
 SAMPLES = {int: 3, float: 1.5, str: "text", bytes: b"data", bool: True}
