Test deadlines missed for slow uploads, cut networks, and servers that change version

Cause: three changes of the counting, one for each of these cases, broke no test.

Change: tests for them.

--- a/tests/test_version_outcomes.py
+++ b/tests/test_version_outcomes.py
@@ -119,7 +119,15 @@
         set_rollout(self.view, share, **fields)
         self.host.update(self.view, list_gates(self.view))
 
-    async def start(self, gate=TARGET_GATE, *, route="r", key=POOLED, left=DEADLINE):
+    async def start(
+        self,
+        gate=TARGET_GATE,
+        *,
+        route="r",
+        key=POOLED,
+        left=DEADLINE,
+        has_body=False,
+    ):
         self.streams += 1
         head = RequestHead(
             stream=self.streams,
@@ -139,7 +147,7 @@
             target="/",
             headers=[],
             idempotency_key="",
-            has_body=False,
+            has_body=has_body,
             pool="desk",
         )
         self.host.receive(self.peer, head)
@@ -286,6 +294,16 @@
     assert log_time == pytest.approx(math.log(0.1), abs=1e-3)
 
 
+async def test_deadline_missed_for_a_caller_or_the_network_is_not_counted(gate):
+    """Guards against a sound version that is blamed for slow uploads or a cut."""
+    await gate.start(has_body=True)
+    await gate.cancel(after=DEADLINE)
+    await gate.start()
+    gate.host._reachability._unreachable[f"desk-{TARGET}-0"] = gate.now
+    await gate.cancel(after=DEADLINE)
+    assert gate.read() == [2, 0, 0, 0.0, 0]
+
+
 async def test_deadline_missed_for_lack_of_time_is_not_counted(gate):
     """Guards against a sound version that is blamed for the wait in a queue."""
     await gate.end(await gate.start(), after=0.5)
@@ -482,3 +500,8 @@
     reporter.outcomes.record_start("desk", f"desk-{TARGET}-2", "r", is_cold=False)
     (report,) = reporter.outcomes.list_reports(10.0, 1)
     assert [row[:3] for row in report.rows] == [[1, "r", 1]]
+    add_servers(reporter.view, TARGET, 3, version=OLD)
+    reporter.outcomes.update(reporter.view)
+    reporter.count()
+    (report,) = reporter.outcomes.list_reports(10.0, 1)
+    assert [row[:3] for row in report.rows] == [[1, "r", 1], [0, "r", 1]]
