Bound what clients can make a process hold, at each port

Cause: aiohttp bounds a line and the number of fields of a head, but neither a whole head (2 MB of fields), nor the time for it, nor empty lines and chunk framing, and it keeps a connection without a request for an hour. Streams took 1 MB frames before the handshake. Change: connections of the callers', readiness, metrics and control's ports are parsed in parts of 16 KB. Bytes without progress are counted up to the size of a head; heads, idle connections, bodies to control and unread responses have time limits. ConnectionTable closes the connection that has gone longest without a complete request when there are more than the host's descriptors allow. All that is held counts in one memory budget of the process. Both are derived from limits.memoryMb and limits.maxFds, or set by clientLimits. The first frame of a stream has 4 KB at most, and large frames count while they arrive.

--- a/src/monsoonlug/entry.py
+++ b/src/monsoonlug/entry.py
@@ -17,6 +17,8 @@
     GateAddress,
 )
 from monsoonlug.catalogue import Pool
+from monsoonlug.client_ports import ClientPorts
+from monsoonlug.connection_limits import SWEEP_INTERVAL, ClientLimits
 from monsoonlug.control_client import ROLE, ControlClient
 from monsoonlug.daemons import DaemonService
 from monsoonlug.delivery import DeliveryContext
@@ -25,16 +27,18 @@
 from monsoonlug.exchanges import ExchangeTable, LocalPeer, Peer
 from monsoonlug.frontend import Frontend
 from monsoonlug.gate_manager import GateManager
+from monsoonlug.host_limits import MEGABYTE, HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.http_backend import HttpBackend
 from monsoonlug.ids import HostId, ServerId
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import ReportRequest, ReportResponse, ServerAnnounced
+from monsoonlug.prometheus_metrics import PrometheusMetrics
 from monsoonlug.record_manager import RecordManager
 from monsoonlug.record_messages import RecordAck, RecordBeginResult
 from monsoonlug.recordclient import RecordClient
-from monsoonlug.settings import EntrySettings, split_address
+from monsoonlug.settings import EntrySettings
 from monsoonlug.statsd_metrics import open_statsd_client
 from monsoonlug.streams import MessageStream
 from monsoonlug.targets import TargetFinder
@@ -47,6 +51,8 @@
 DRAIN_TIMEOUT = 65.0  # seconds; above the longest deadline of a route
 POLL_INTERVAL = 0.020  # seconds between checks while this host is leaving
 BOOT_ID_BYTES = 8
+# Above the sum of the limits that admission has for the target and for the headers.
+CLIENT_LIMITS = ClientLimits(head_bytes=32_768, head_timeout=10.0, idle_timeout=75.0)
 
 logger = get_logger("entry")
 
@@ -63,6 +69,14 @@
         self._settings = settings
         self._host = HostId(settings.host)
         self._web_runners: list[web.ServerRunner | web.AppRunner] = []
+        memory = settings.memory_mb
+        self._ports = ClientPorts(
+            limits=HostLimits(
+                memory_bytes=None if memory is None else memory * MEGABYTE,
+                descriptors=settings.descriptors,
+            ),
+            metrics=PrometheusMetrics(),
+        )
 
     async def on_start(self) -> None:
         """Creates the components, opens the listeners and starts background tasks."""
@@ -126,6 +140,7 @@
             metrics=self._metrics,
         )
         await self._listen()
+        self._spawn(self._run_periodically(SWEEP_INTERVAL, self._ports.close_expired))
         for coroutine in self._control_client.list_tasks():
             self._spawn(coroutine)
         self._spawn(self._token_queue.run())
@@ -165,25 +180,28 @@
             role=ROLE,
             sender=settings.host,
             serve=self._serve_stream,
+            limits=self._ports.build_stream_limits(),
         )
         await self._listener.start()
-        server = web.Server(
-            self._frontend.handle, access_log=None, handler_cancellation=True
+        server = self._ports.build_server(
+            "caller",
+            self._frontend.handle,
+            get_limits=lambda: CLIENT_LIMITS,
+            handler_cancellation=True,
         )
         app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
         app.add_routes([web.post(ANNOUNCE_PATH, self._serve_announcement)])
         self._web_runners = [
             web.ServerRunner(server),
-            web.AppRunner(app, access_log=None),
+            self._ports.build_runner(
+                "announce", app, max_connections=self._ports.limits.get_streams()
+            ),
         ]
         addresses = (settings.listen, settings.announce)
         self._sites = []
         for runner, address in zip(self._web_runners, addresses, strict=True):
             await runner.setup()
-            host, port = split_address(address)
-            site = web.TCPSite(runner, host, port)
-            await site.start()
-            self._sites.append(site)
+            self._sites.append(await self._ports.start_site(runner, address))
 
     async def _close_sites(self) -> None:
         for site in self._sites:
@@ -319,6 +337,8 @@
             metrics.gauge("lease_valid", int(self._control_client.lease.is_valid(now)))
             metrics.gauge("revision", self._control_client.view.revision)
             metrics.gauge("damaged_frames", self._listener.damaged_frames)
+            metrics.gauge("held_bytes", self._ports.budget.used)
+            metrics.gauge("client_refusals", self._ports.refusals)
             drops = self._frontend.drops
             metrics.gauge("dropped_frames.late", drops.late)
             metrics.gauge("dropped_frames.mismatched", drops.mismatched)
--- a/src/monsoonlug/fleet_control.py
+++ b/src/monsoonlug/fleet_control.py
@@ -12,7 +12,9 @@
 
 from monsoonlug import messages
 from monsoonlug.actions import ReadIndexConfirmed, RoleChanged
+from monsoonlug.client_ports import ClientPorts
 from monsoonlug.clocks import read_clock
+from monsoonlug.connection_limits import SWEEP_INTERVAL
 from monsoonlug.consensus import Replica
 from monsoonlug.consensus_timing import ConsensusTiming
 from monsoonlug.daemons import DaemonService
@@ -27,6 +29,7 @@
 from monsoonlug.fleet_messages import ChangeItems, DomainChanged, GroupMembers
 from monsoonlug.group import ControlGroup
 from monsoonlug.heartbeats import LeaseGrant, ServerHeartbeat
+from monsoonlug.host_limits import HostLimits
 from monsoonlug.ids import FailureDomain, ReplicaId, ServerId
 from monsoonlug.items import Item, ItemKind, ItemRemoved
 from monsoonlug.journal import FileStorage
@@ -69,6 +72,7 @@
         may_bootstrap: Whether the seeds may form a new group.
         server_heartbeat_interval: Seconds between two heartbeats of a backend server.
         metrics_address: Address that serves metrics, or None.
+        host_limits: Limits of the host, and of what clients may hold.
     """
 
     stream: str
@@ -77,6 +81,7 @@
     may_bootstrap: bool
     server_heartbeat_interval: float
     metrics_address: str | None = None
+    host_limits: HostLimits = HostLimits()
 
 
 class PeerLinks(Mapping[ReplicaId, Link]):
@@ -148,6 +153,7 @@
         self._contacts: tuple[ReplicaId, ...] = ()
         self._random = Random()
         self.metrics = PrometheusMetrics()
+        self.ports = ClientPorts(limits=settings.host_limits, metrics=self.metrics)
 
     async def on_start(self) -> None:
         """Opens the data folder and starts listening."""
@@ -182,6 +188,7 @@
             role=ROLE,
             sender=settings.stream,
             serve=self._serve_stream,
+            limits=self.ports.build_stream_limits(),
         )
         await self._listener.start()
         await self._start_metrics()
@@ -190,6 +197,7 @@
         self._spawn(
             self._run_periodically(MEMBERSHIP_CHECK_INTERVAL, self._change_members)
         )
+        self._spawn(self._run_periodically(SWEEP_INTERVAL, self.ports.close_expired))
         logger.info(
             "Control replica {} started at log index {}.",
             settings.stream,
@@ -200,7 +208,7 @@
         """Stops listening and closes the data folder."""
         await self._cancel_tasks()
         await self._listener.stop()
-        await self.metrics.stop()
+        await self.ports.stop_metrics()
         self._storage.close()
         logger.info("Control replica {} stopped.", self._settings.stream)
 
@@ -375,7 +383,7 @@
         add_gauge("revision", "Revision.", lambda: self._group.state.view.revision)
         add_gauge("entries", "Connected entries.", lambda: self._publisher.subscribers)
         if self._settings.metrics_address is not None:
-            await self.metrics.start(self._settings.metrics_address)
+            await self.ports.start_metrics(self._settings.metrics_address)
 
     def _get_registrar(self):
         if self._publisher.registrar is None or not self._group.is_leader:
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -13,7 +13,9 @@
 from aiohttp import web
 
 from monsoonlug.backend import BackendProtocol
+from monsoonlug.client_ports import ClientPorts
 from monsoonlug.clocks import read_clock
+from monsoonlug.connection_limits import SWEEP_INTERVAL
 from monsoonlug.crash_tracking import CrashTracker, RequestState, RequestVerdict
 from monsoonlug.daemons import DaemonService
 from monsoonlug.delivery import DeliveryContext
@@ -29,6 +31,7 @@
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
 from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
+from monsoonlug.host_limits import HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
@@ -36,7 +39,6 @@
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
 from monsoonlug.prometheus_metrics import PrometheusMetrics
-from monsoonlug.settings import split_address
 from monsoonlug.streams import MessageStream
 from monsoonlug.subscription import (
     ROLE,
@@ -74,6 +76,7 @@
         revocation_bound: Seconds after which no host may accept a withdrawn key.
         grace_period: Seconds from SIGTERM until the process is killed.
         metrics_address: Address that serves metrics, or None.
+        host_limits: Limits of the host, and of what clients may hold.
     """
 
     host: HostId
@@ -86,6 +89,7 @@
     revocation_bound: float
     grace_period: float
     metrics_address: str | None = None
+    host_limits: HostLimits = HostLimits()
 
 
 class FleetEntryService(DaemonService):
@@ -113,6 +117,7 @@
         self._departed_at: dict[HostId, float] = {}
         self._exchanges = ExchangeTable()
         self._metrics = PrometheusMetrics()
+        self._ports = ClientPorts(limits=settings.host_limits, metrics=self._metrics)
 
     async def on_start(self) -> None:
         """Starts listening."""
@@ -199,6 +204,7 @@
             )
         )
         self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
+        self._spawn(self._run_periodically(SWEEP_INTERVAL, self._ports.close_expired))
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
     async def on_stop(self) -> None:
@@ -232,7 +238,7 @@
         await self._cancel_tasks()
         self._host_links.stop()
         await self._listener.stop()
-        await self._metrics.stop()
+        await self._ports.stop_metrics()
         logger.info("Entry {} stopped.", self._settings.host)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -246,11 +252,13 @@
             role=ROLE,
             sender=settings.host,
             serve=self._serve_stream,
+            limits=self._ports.build_stream_limits(),
         )
         await self._listener.start()
-        server = web.Server(
+        server = self._ports.build_server(
+            "caller",
             self._ingress.handle,
-            access_log=None,
+            get_limits=self._ingress.get_client_limits,
             handler_cancellation=True,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -262,13 +270,12 @@
         )
         self._runners = [
             web.ServerRunner(server, shutdown_timeout=shutdown_timeout),
-            web.AppRunner(app, access_log=None),
+            self._ports.build_small_runner("readiness", app),
         ]
         addresses = (settings.listen, settings.readiness)
         for runner, address in zip(self._runners, addresses, strict=True):
             await runner.setup()
-            host, port = split_address(address)
-            await web.TCPSite(runner, host, port, backlog=512).start()
+            await self._ports.start_site(runner, address)
 
     async def _start_metrics(self) -> None:
         add_gauge = self._metrics.add_gauge
@@ -311,7 +318,7 @@
             lambda: self._subscription.view.revision,
         )
         if self._settings.metrics_address is not None:
-            await self._metrics.start(self._settings.metrics_address)
+            await self._ports.start_metrics(self._settings.metrics_address)
 
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._ingress.is_ready() else 503)
--- a/src/monsoonlug/ingress.py
+++ b/src/monsoonlug/ingress.py
@@ -20,6 +20,7 @@
     read_length,
     strip_headers,
 )
+from monsoonlug.connection_limits import ClientLimits
 from monsoonlug.delivery import Delivery, DeliveryContext
 from monsoonlug.dispatch import Attempts, DropCounts, RetryBudget
 from monsoonlug.exceptions import (
@@ -167,6 +168,10 @@
             self._clock(), list_limits(view.items)
         )
 
+    def get_client_limits(self) -> ClientLimits:
+        """Returns the limits on callers' connections."""
+        return self._index.client_limits
+
     def stop_deliveries(self) -> None:
         """Answers the callers whose responses cannot arrive before this host stops."""
         for delivery in list(self._deliveries):
--- a/src/monsoonlug/links.py
+++ b/src/monsoonlug/links.py
@@ -1,11 +1,14 @@
 """Outgoing streams with automatic reconnection, and the listener for incoming ones."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from random import Random
 
 from monsoonlug.exceptions import DamagedFrame, StreamClosed
 from monsoonlug.logs import get_logger
+from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.settings import split_address
 from monsoonlug.streams import MessageStream, connect
 
@@ -14,6 +17,10 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_UNSENT_BYTES = 4 * 1_048_576  # queued for a slow peer
 
+# Values of a metric label.
+MEMORY_REASON = "memory"
+TOO_MANY_REASON = "too-many-connections"
+
 logger = get_logger("links")
 
 
@@ -117,6 +124,24 @@
                 self._on_close()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamLimits:
+    """Bounds on the streams that other processes, or untrusted clients, open.
+
+    Attributes:
+        max_streams: Number of streams that may be open.
+        budget: The memory budget of the process.
+        record: Called with the reason whenever a stream is closed for a limit.
+        receive_buffer: Bytes that the kernel may receive ahead for each stream, or None
+            for its default.
+    """
+
+    max_streams: int
+    budget: MemoryBudget
+    record: Callable[[str], None]
+    receive_buffer: int | None = None
+
+
 class Listener:
     """Accepts streams from other processes of the system.
 
@@ -125,6 +150,7 @@
         role: Role of this process.
         sender: Name of this process.
         serve: Serves one stream until it ends.
+        limits: Bounds on the streams; None for no bounds.
     """
 
     def __init__(
@@ -134,8 +160,10 @@
         role: str,
         sender: str,
         serve: Callable[[MessageStream], Awaitable[None]],
+        limits: StreamLimits | None = None,
     ):
         self._address = address
+        self._limits = limits
         self._role = role
         self._sender = sender
         self._serve = serve
@@ -151,6 +179,8 @@
         """
         host, port = split_address(self._address)
         self._server = await asyncio.start_server(self._accept, host, port)
+        if self._limits is not None:
+            limit_receive_buffers(self._server, self._limits.receive_buffer)
 
     async def stop(self) -> None:
         """Stops accepting streams and closes those that are open."""
@@ -165,6 +195,7 @@
         stream = MessageStream(reader=reader, writer=writer)
         self._open.add(stream)
         try:
+            self._apply_limits(stream)
             await stream.handshake(role=self._role, sender=self._sender)
             await self._serve(stream)
         except StreamClosed as error:
@@ -181,3 +212,38 @@
         finally:
             self._open.discard(stream)
             stream.close()
+            stream.release_memory()
+
+    def _apply_limits(self, stream: MessageStream) -> None:
+        """Starts to count the memory of a stream, and closes the worst one of many."""
+        limits = self._limits
+        if limits is None:
+            return
+
+        def evict() -> None:
+            limits.record(MEMORY_REASON)
+            stream.abort()
+
+        stream.hold_memory(limits.budget.open(evict=evict))
+        if len(self._open) <= limits.max_streams:
+            return
+        # A process sends its first message at once, and further ones every second.
+        others = self._open - {stream}
+        worst = min(others, key=lambda item: (item.peer_role != "", item.active_at))
+        self._open.discard(worst)
+        limits.record(TOO_MANY_REASON)
+        worst.abort()
+
+
+def limit_receive_buffers(server: asyncio.Server, size: int | None) -> None:
+    """Sets how many bytes the kernel receives ahead for each accepted connection.
+
+    Args:
+        server: The listening server.
+        size: Number of bytes, or None to leave the kernel's default.
+    """
+    if size is None:
+        return
+    for listener in server.sockets:
+        # Accepted connections inherit the size.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/src/monsoonlug/lookup.py
+++ b/src/monsoonlug/lookup.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from monsoonlug.catalogue import digest_key
+from monsoonlug.connection_limits import ClientLimits
 from monsoonlug.exceptions import KeyRefused, UnknownRoute
 from monsoonlug.ids import PoolId, RequestClass, RouteId
 from monsoonlug.items import ItemKind, ItemTable, LimitsItem, RouteItem, WorkspaceItem
@@ -89,6 +90,11 @@
         self._workspaces: dict[str, WorkspaceItem] = {}
         self.is_empty = len(items) == 0
         self.limits = items.find(ItemKind.LIMITS, "") or DEFAULT_LIMITS
+        self.client_limits = ClientLimits(
+            head_bytes=self.limits.header_bytes,
+            head_timeout=self.limits.header_timeout,
+            idle_timeout=self.limits.idle_timeout,
+        )
         for route in items.iterate(ItemKind.ROUTE):
             self._routes.setdefault(route.host, []).append(route)
             chooser = previous._pool_choosers.get(route.name) if previous else None
--- a/src/monsoonlug/platform/interface.py
+++ b/src/monsoonlug/platform/interface.py
@@ -60,10 +60,12 @@
                 web.post(BRING_BACK_PATH, self._handle_errors(self._bring_back)),
             ]
         )
-        runner = web.AppRunner(app, access_log=None)
+        ports = self._control.ports
+        runner = ports.build_runner(
+            "control", app, max_connections=ports.limits.get_client_connections()
+        )
         await runner.setup()
-        host, port = split_address(self._address)
-        await web.TCPSite(runner, host, port, backlog=512).start()
+        await ports.start_site(runner, self._address)
         return runner
 
     def _handle_errors(
--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -6,6 +6,7 @@
 from monsoonlug.exceptions import BadRequest, InvalidFile, Problem
 from monsoonlug.fleet_control import FleetControlSettings
 from monsoonlug.fleet_entry import FleetEntrySettings
+from monsoonlug.host_limits import MEGABYTE, HostLimits
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.platform.fields import JSON_TYPE_NAMES, parse_seconds
 from monsoonlug.settings import split_address
@@ -14,6 +15,8 @@
 READINESS_PATH = "/monsoonlug/readyz"
 METRICS_PORT = 9464  # as in deploy/system.toml
 DEFAULT_HEARTBEAT_INTERVAL = "1s"
+MAX_MEGABYTES = 1_048_576
+MAX_CONNECTIONS = 1_048_576
 DISABLED_BOUND = "86400s"  # in place of a bound that is not enforced
 
 
@@ -56,6 +59,7 @@
                 "heartbeat", DEFAULT_HEARTBEAT_INTERVAL
             ),
             metrics_address=self._read_metrics_address(),
+            host_limits=self._read_host_limits(),
         )
         self._raise_problems()
         return settings
@@ -83,6 +87,7 @@
             ),
             grace_period=self._parse_seconds("bounds", bounds.get("grace", "6s")),
             metrics_address=self._read_metrics_address(),
+            host_limits=self._read_host_limits(),
         )
         self._raise_problems()
         return settings
@@ -116,6 +121,35 @@
     def _read_metrics_address(self) -> str:
         return f"{self._read_field('ip', str, '')}:{METRICS_PORT}"
 
+    def _read_host_limits(self) -> HostLimits:
+        """Returns the limits of the host, and settings that replace derived values."""
+        memory = self._read_count("limits", "memoryMb", MAX_MEGABYTES)
+        budget = self._read_count("clientLimits", "memoryMb", MAX_MEGABYTES)
+        return HostLimits(
+            memory_bytes=None if memory is None else memory * MEGABYTE,
+            descriptors=self._read_count("limits", "maxFds", MAX_CONNECTIONS),
+            budget_bytes=None if budget is None else budget * MEGABYTE,
+            client_connections=self._read_count(
+                "clientLimits", "connections", MAX_CONNECTIONS
+            ),
+        )
+
+    def _read_count(self, group: str, name: str, maximum: int) -> int | None:
+        """Returns a positive number of an optional group, or None if it is absent."""
+        fields = self._document.get(group)
+        if fields is None:
+            return None
+        if not isinstance(fields, dict):
+            self._add_problem(group, "(a value)", "a value of the type object")
+            return None
+        value = fields.get(name)
+        if value is None:
+            return None
+        if type(value) not in (int, float) or not 1 <= value <= maximum:
+            self._add_problem(f"{group}.{name}", value, f"a number from 1 to {maximum}")
+            return None
+        return int(value)
+
     def _read_stream_port(self) -> int:
         # The range is the same on all machines of an installation.
         ports = self._read_field("internalPortRange", list, [0, 0])
--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of a daemon, served on a separate address."""
+"""Prometheus metrics of a daemon, and the application that serves them."""
 
 from collections.abc import Callable
 
@@ -6,8 +6,6 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
-from monsoonlug.settings import split_address
-
 METRICS_PATH = "/metrics"
 LATENCY_BUCKETS = (
     0.01,
@@ -51,7 +49,12 @@
             ["kind", "outcome"],
             registry=self._registry,
         )
-        self._runner: web.AppRunner | None = None
+        self._client_refusals = Counter(
+            "monsoonlug_client_refusals",
+            "Closed connections and refused requests of clients by port and reason.",
+            ["port", "reason"],
+            registry=self._registry,
+        )
 
     def count_request(self, route: str, outcome: str, seconds: float) -> None:
         """Counts a caller's request, and records its latency if it was answered."""
@@ -63,24 +66,20 @@
         """Counts a control call of a backend server or operator."""
         self._calls.labels(kind, outcome).inc()
 
+    def count_client_refusal(self, port: str, reason: str) -> None:
+        """Counts a connection that was closed, or a request refused, for a limit."""
+        self._client_refusals.labels(port, reason).inc()
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Adds a gauge whose value is read whenever the metrics are scraped."""
         gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
         gauge.set_function(read)
 
-    async def start(self, address: str) -> None:
-        """Starts serving the metrics."""
+    def build_app(self) -> web.Application:
+        """Returns the application that serves the metrics."""
         app = web.Application()
         app.add_routes([web.get(METRICS_PATH, self._serve_metrics)])
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, port = split_address(address)
-        await web.TCPSite(self._runner, host, port).start()
-
-    async def stop(self) -> None:
-        """Stops serving the metrics."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        return app
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         text = generate_latest(self._registry)
--- a/src/monsoonlug/settings.py
+++ b/src/monsoonlug/settings.py
@@ -110,6 +110,9 @@
         stream: Address for streams from other hosts of the system.
         leave_notice: Seconds between the first unready answer to the load balancer and
             the end of listening.
+        memory_mb: Memory of the host in MB, from which the memory budget is derived.
+        descriptors: Descriptors of the process, from which the numbers of connections
+            are derived.
     """
 
     host: Name
@@ -117,6 +120,8 @@
     announce: Address
     stream: Address
     leave_notice: float = Field(default=2.0, ge=0, le=60)
+    memory_mb: int | None = Field(default=None, ge=64, le=1_048_576)
+    descriptors: int | None = Field(default=None, ge=64, le=1_048_576)
     control: list[Member] = Field(min_length=1)
 
 
--- a/src/monsoonlug/streams.py
+++ b/src/monsoonlug/streams.py
@@ -3,16 +3,23 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 from monsoonlug import messages
 from monsoonlug.exceptions import DamagedFrame, StreamClosed, UnknownMessage
 from monsoonlug.logs import get_logger
+from monsoonlug.memory_budget import Holding
 from monsoonlug.settings import split_address
 
 _LENGTH = struct.Struct(">I")
 _IP_FAMILIES = (socket.AF_INET, socket.AF_INET6)
 HELLO_TIMEOUT = 2.0  # seconds
+MAX_HELLO_BYTES = 4_096  # of the first frame; names have at most 64 characters
+# Larger frames are read in parts, whose size counts towards the memory budget.
+PART_BYTES = 65_536
+# Bytes of the objects and of the read buffer that a stream holds at all times.
+STREAM_COST = 32_768
 USER_TIMEOUT_MS = 1_000  # until unacknowledged data fails the connection
 
 logger = get_logger("links")
@@ -24,6 +31,11 @@
     Args:
         reader: Reader of the connection.
         writer: Writer of the connection.
+
+    Attributes:
+        peer: Name of the peer, or an empty string before the handshake.
+        peer_role: Role of the peer, or an empty string before the handshake.
+        active_at: Monotonic time, in seconds, of the last complete frame received.
     """
 
     def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
@@ -32,8 +44,10 @@
         self._batch: list[bytes] = []
         self._batch_bytes = 0
         self._is_batching = False
+        self._holding: Holding | None = None
         self.peer = ""
         self.peer_role = ""
+        self.active_at = time.monotonic()
         set_user_timeout(writer)
 
     def send(self, message: object, *, batched: bool = False) -> None:
@@ -98,33 +112,67 @@
         except OSError:
             raise StreamClosed() from None
 
-    async def receive(self) -> object:
+    async def receive(self, *, max_bytes: int = messages.MAX_FRAME_BYTES) -> object:
         """Returns the next message of a type that this version knows.
 
+        Args:
+            max_bytes: Size that the frame may have.
+
         Raises:
             StreamClosed: If the stream ended.
             DamagedFrame: If the frame is too long or cannot be decoded.
         """
         while True:
-            body = await self._read_frame()
+            body = await self._read_frame(max_bytes)
+            self.active_at = time.monotonic()
             try:
                 return messages.decode(body)
             except UnknownMessage as error:
                 # The peer may run a later version.
                 logger.info("Skipped a message from {}: {}.", self.peer, error)
 
-    async def _read_frame(self) -> bytes:
+    async def _read_frame(self, max_bytes: int) -> bytes:
         try:
             (length,) = _LENGTH.unpack(await self._reader.readexactly(_LENGTH.size))
-            if length > messages.MAX_FRAME_BYTES:
+            if length > max_bytes:
                 raise DamagedFrame(
-                    f"frame of {length} bytes exceeds the limit of "
-                    f"{messages.MAX_FRAME_BYTES}"
+                    f"frame of {length} bytes exceeds the limit of {max_bytes}"
                 )
+            if length > PART_BYTES and self._holding is not None:
+                return await self._read_parts(length)
             return await self._reader.readexactly(length)
         except (asyncio.IncompleteReadError, OSError):
             raise StreamClosed() from None
 
+    async def _read_parts(self, length: int) -> bytes:
+        """Reads a large frame, whose sender may never complete it."""
+        parts = []
+        held = 0
+        while held < length:
+            size = min(PART_BYTES, length - held)
+            parts.append(await self._reader.readexactly(size))
+            held += size
+            if not self._holding.resize(STREAM_COST + held):
+                raise StreamClosed("there is no memory for a frame")
+        frame = b"".join(parts)
+        self._holding.resize(STREAM_COST)
+        return frame
+
+    def hold_memory(self, holding: Holding) -> None:
+        """Counts the memory of this stream towards a budget.
+
+        Raises:
+            StreamClosed: If there is no memory.
+        """
+        self._holding = holding
+        if not holding.resize(STREAM_COST):
+            raise StreamClosed("there is no memory for a stream")
+
+    def release_memory(self) -> None:
+        """Ends what `hold_memory` began, if it was called."""
+        if self._holding is not None:
+            self._holding.close()
+
     async def iterate(self) -> AsyncIterator[object]:
         """Yields messages until the stream ends.
 
@@ -143,6 +191,10 @@
         self._flush()
         self._writer.close()
 
+    def abort(self) -> None:
+        """Closes the stream at once, without delivering messages already sent."""
+        self._writer.transport.abort()
+
     @property
     def closed(self) -> bool:
         """Whether the stream is closed on this side."""
@@ -165,7 +217,9 @@
         )
         self.send(hello)
         try:
-            answer = await asyncio.wait_for(self.receive(), HELLO_TIMEOUT)
+            answer = await asyncio.wait_for(
+                self.receive(max_bytes=MAX_HELLO_BYTES), HELLO_TIMEOUT
+            )
         except TimeoutError:
             raise StreamClosed() from None
         if not isinstance(answer, messages.Hello):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -250,6 +250,25 @@
     assert {"$.zone", "$.nodeName", "$.ip", "$.listen.front"} <= paths
 
 
+@pytest.mark.parametrize(
+    ("group", "name"),
+    [
+        ("limits", "memoryMb"),
+        ("limits", "maxFds"),
+        ("clientLimits", "memoryMb"),
+        ("clientLimits", "connections"),
+    ],
+)
+@pytest.mark.parametrize("value", [0, -1, "96", True, [], 10**12, 1e99])
+def test_invalid_limits_of_clients_are_reported(tmp_path, group, name, value):
+    """Guards against limits of clients that have no effect, or refuse everyone."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({group: {name: value}}))
+    with pytest.raises(InvalidFile) as caught:
+        NodeFile(path).build_entry()
+    assert f"$.{group}.{name}" in {problem.path for problem in caught.value.problems}
+
+
 async def test_requests_without_ids_of_two_entries_are_told_apart(tmp_path):
     """Guards against two requests at one gate that have the same id.
 
