Reject responses without a valid status line, and bound those of others

Cause: the parser accepts statuses from 600 to 999 and the versions 0.9 and 2.0, and callers received them; after a 1xx with a length, the gate waited for the deadline. A response with such a status and the not-executed header was taken as "not run". Answers to other requests were skipped without a bound, while the event loop did nothing else. Change: a status outside 100 to 599, another version than 1.0 and 1.1, and a 1xx with a body's length are lost responses: 502, outcome unknown, and an idempotent request may go elsewhere. A connection is aborted once 16 whole responses wait on it, or a request has skipped 16 or 4 MiB; bytes of a server are parsed in parts of 32 KB.

--- a/src/monsoonlug/http_connections.py
+++ b/src/monsoonlug/http_connections.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp import HttpVersion10, HttpVersion11
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
@@ -21,6 +22,16 @@
 UNACKED_TIMEOUT_MS = 2_000  # for sent data without a TCP acknowledgement
 # Bounds the memory for the ids that a connection has carried.
 MAX_REQUESTS_PER_CONNECTION = 256
+# Bytes that are parsed at once. A read may hold thousands of short responses.
+MAX_PART_BYTES = 32_768
+# Complete heads that wait to be read. There is one request at a time, so that all but
+# one are copies, or answers to other requests; a server may repeat them without end.
+MAX_WAITING_RESPONSES = 16
+# Responses to other requests, and the bytes of their bodies, that one request skips.
+MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_BYTES = 4 * 1_048_576
+SWITCHING_PROTOCOLS = 101  # never requested, so that it is no informational status
+_VERSIONS = (HttpVersion10, HttpVersion11)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,6 +78,28 @@
             return True
         return super().should_close
 
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes from the server in parts, up to a bound on whole responses."""
+        if len(data) <= MAX_PART_BYTES:
+            super().data_received(data)
+            self._check_waiting()
+            return
+        for start in range(0, len(data), MAX_PART_BYTES):
+            super().data_received(data[start : start + MAX_PART_BYTES])
+            if self._check_waiting():
+                return
+
+    def _check_waiting(self) -> bool:
+        """Ends the connection if too many responses wait; returns whether it did."""
+        if len(self._buffer) <= MAX_WAITING_RESPONSES:
+            return False
+        if self.transport is not None:
+            self.transport.abort()
+        while len(self._buffer) > MAX_WAITING_RESPONSES:
+            self._buffer.pop()
+        self.set_exception(HttpProcessingError(message="responses without end"))
+        return True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handles the end of the connection."""
         self.is_reset = exc is not None
@@ -162,6 +195,21 @@
     return any(_STATUS_LINE.search(value) for _, value in message.raw_headers)
 
 
+def _check_status_line(message: RawResponseMessage) -> None:
+    """Checks what the parser accepts beyond the protocol.
+
+    Raises:
+        aiohttp.ClientPayloadError: If the response has no valid status line.
+    """
+    if message.version not in _VERSIONS:
+        raise aiohttp.ClientPayloadError("unknown version of HTTP")
+    if not 100 <= message.code <= 599:
+        raise aiohttp.ClientPayloadError("status outside the range 100 to 599")
+    is_final = "Content-Length" in message.headers or message.chunked
+    if message.code < 200 and is_final:
+        raise aiohttp.ClientPayloadError("informational status with a body")
+
+
 class CheckedResponse(aiohttp.ClientResponse):
     """Skips responses that carry the id of another request."""
 
@@ -171,19 +219,38 @@
         """Reads the head of the response to this request."""
         sent = self.request_info.headers.get(self.request_id_header)
         protocol = connection.protocol
+        skipped = 0
         while True:
             try:
                 message, payload = await protocol.read()
             except HttpProcessingError as error:
                 raise aiohttp.ClientPayloadError("invalid HTTP response") from error
+            _check_status_line(message)
             if _contains_status_line(message):
                 raise aiohttp.ClientPayloadError("head joined from two responses")
+            if message.code < 200 and message.code != SWITCHING_PROTOCOLS:
+                continue  # An informational response precedes the final one.
             echoed = message.headers.get(self.request_id_header)
-            if message.code < 200 or not echoed or echoed == sent:
+            if not echoed or echoed == sent or message.code < 200:
                 # Put the response back, for aiohttp to read it.
                 protocol._buffer.appendleft(((message, payload), 0))
                 break
             protocol.force_close()
-            while not payload.at_eof():
-                await payload.readany()
+            skipped += 1
+            if skipped > MAX_SKIPPED_RESPONSES:
+                raise aiohttp.ClientPayloadError("too many answers to other requests")
+            await _skip_body(payload)
         return await super().start(connection)
+
+
+async def _skip_body(payload: aiohttp.StreamReader) -> None:
+    """Reads the body of a response to another request.
+
+    Raises:
+        aiohttp.ClientPayloadError: If it is too long.
+    """
+    size = 0
+    while not payload.at_eof():
+        size += len(await payload.readany())
+        if size > MAX_SKIPPED_BYTES:
+            raise aiohttp.ClientPayloadError("too long an answer to another request")
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -11,6 +11,11 @@
 import pytest
 
 from monsoonlug.exceptions import BackendRefused, OutcomeUnknown
+from monsoonlug.http_connections import (
+    MAX_PART_BYTES,
+    MAX_WAITING_RESPONSES,
+    TrackedHandler,
+)
 from monsoonlug.platform.headers import PlatformBackend
 from tests.backends import make_request, read_body
 
@@ -143,3 +148,42 @@
         with pytest.raises(OutcomeUnknown):
             await asyncio.wait_for(backend.probe("/health"), 2.0)
         await asyncio.wait_for(endless.closed.wait(), 1.0)
+
+
+@pytest.mark.parametrize("body", [b"", b"no"])
+async def test_earlier_answer_repeated_without_end_is_read_once(body, monkeypatch):
+    """Guards against an event loop that is busy with answers to other requests.
+
+    Each takes about 20 us, and a server sends 200,000 of them in a second.
+    """
+    parsed = 0
+    feed_data = TrackedHandler.feed_data
+
+    def count(handler, *arguments):
+        nonlocal parsed
+        parsed += 1
+        feed_data(handler, *arguments)
+
+    monkeypatch.setattr(TrackedHandler, "feed_data", count)
+    answer = (
+        b"HTTP/1.1 200 OK\r\nX-Monsoonlug-Request-Id: earlier\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    )
+    endless = EndlessServer(b"", answer * (16_384 // len(answer)))
+    async with run_server(endless) as backend:
+        with pytest.raises(OutcomeUnknown):
+            await send_and_read(backend)
+        await asyncio.wait_for(endless.closed.wait(), 1.0)
+    assert parsed <= MAX_PART_BYTES // len(answer) + MAX_WAITING_RESPONSES
+
+
+async def test_some_answers_to_other_requests_are_skipped():
+    """Guards against a bound that a server's late and repeated answers reach."""
+    other = (
+        b"HTTP/1.1 200 OK\r\nX-Monsoonlug-Request-Id: earlier\r\n"
+        b"Content-Length: 2\r\n\r\nno"
+    )
+    own = OWN_HEAD + b"Content-Length: 3\r\n\r\nyes"
+    endless = EndlessServer(other * 8 + own, b"", pause=0.1)
+    async with run_server(endless) as backend:
+        assert await send_and_read(backend) == b"yes"
