--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of a daemon, served on a separate address."""
+"""Prometheus metrics of a daemon, and the application that serves them."""
 
 from collections.abc import Callable, Iterator, Mapping
 
@@ -8,8 +8,6 @@
 from prometheus_client.metrics_core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
-from monsoonlug.settings import split_address
-
 METRICS_PATH = "/metrics"
 LATENCY_BUCKETS = (
     0.01,
@@ -83,7 +81,12 @@
             ["pool", "version", "event"],
             registry=self._registry,
         )
-        self._runner: web.AppRunner | None = None
+        self._client_refusals = Counter(
+            "monsoonlug_client_refusals",
+            "Closed connections and refused requests of clients by port and reason.",
+            ["port", "reason"],
+            registry=self._registry,
+        )
 
     def count_request(self, route: str, outcome: str, seconds: float) -> None:
         """Counts a caller's request, and records its latency if it was answered."""
@@ -99,6 +102,10 @@
         """Counts an event of a request to a server of a pool in a rollout."""
         self._rollout_requests.labels(pool, version, event).inc()
 
+    def count_client_refusal(self, port: str, reason: str) -> None:
+        """Counts a connection that was closed, or a request refused, for a limit."""
+        self._client_refusals.labels(port, reason).inc()
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Adds a gauge whose value is read whenever the metrics are scraped."""
         gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
@@ -117,19 +124,11 @@
         )
         self._registry.register(collector)
 
-    async def start(self, address: str) -> None:
-        """Starts serving the metrics."""
+    def build_app(self) -> web.Application:
+        """Returns the application that serves the metrics."""
         app = web.Application()
         app.add_routes([web.get(METRICS_PATH, self._serve_metrics)])
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, port = split_address(address)
-        await web.TCPSite(self._runner, host, port).start()
-
-    async def stop(self) -> None:
-        """Stops serving the metrics."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        return app
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         text = generate_latest(self._registry)
