Spread the requests of pools with many slots by the gates' capacity

Cause: all entries prefer the gate that looked best in their last response, and a gate fills its fastest server first and lets requests wait for it. With 4 or more slots, servers are overloaded in turns while others are idle. Change: load_spreading divides requests among the gates of the own failure domain in proportion to capacity, and spills a share to other domains while waiting there is shorter by more than 60 ms. A gate chooses the server with the lowest load for its speed, and predicts the time of a request from its mean service time and recent wait. The message format is unchanged. Pools whose servers have fewer than 4 slots keep their choices.

--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -20,6 +20,7 @@
 )
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
 from monsoonlug.jobs import POOLED
+from monsoonlug.load_spreading import LoadSpreader
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 
@@ -109,6 +110,7 @@
         self._gate_ids: dict[str, GateId] = {}
         self._gate_servers: dict[str, list[ServerId]] = {}
         self._loads: dict[str, GateLoad] = {}
+        self.spreader = LoadSpreader(random=random, failure_domain=failure_domain)
 
     def update_fleet(
         self, view: FleetView, gates: Mapping[GateId, Iterable[FleetServer]]
@@ -125,6 +127,13 @@
         for gate in gates:
             if gate.pool not in view.tables:
                 self._pool_gates.setdefault(gate.pool, []).append(gate)
+        self.spreader.update(
+            {
+                gate: records
+                for gate, records in gates.items()
+                if gate.pool not in view.tables
+            }
+        )
 
     def update_hosts(self, hosts: list[LiveHost]) -> None:
         """Sets the live hosts."""
@@ -180,10 +189,13 @@
             load = self._get_load(target.server)
             load.last_wait = MAX_WAIT
             load.reported_at = self._clock()
+            self.spreader.record_shed(load.reported_at, target.pool, target.server)
 
     def record_wait(self, target: Target, wait: float) -> None:
         """Records the wait that a gate reported with a response."""
-        self._get_load(target.server).record(self._clock(), wait)
+        now = self._clock()
+        self._get_load(target.server).record(now, wait)
+        self.spreader.record_wait(now, target.pool, target.server, wait)
         servers = self._gate_servers.get(target.server, ())
         for host, unreachable in self._unreachable.items():
             if host != target.host and unreachable.issuperset(servers):
@@ -246,16 +258,15 @@
         pool = PoolId(admitted.route.pool)
         gates = self._pool_gates.get(pool, [])
         fresh = [gate for gate in gates if gate.name not in exclude]
-        best = None
-        for gate in fresh or gates:
-            cost = self._estimate_cost(gate)
-            if best is None or cost < best[0]:
-                best = (cost, gate)
-        if best is None:
+        if self.spreader.is_spread(pool):
+            gate = self.spreader.choose(self._clock(), pool, fresh or gates)
+        else:
+            gate = min(fresh or gates, key=self._estimate_cost, default=None)
+        if gate is None:
             return None
         return Target(
-            host=self._choose_host(best[1]),
-            server=ServerId(best[1].name),
+            host=self._choose_host(gate),
+            server=ServerId(gate.name),
             gate_epoch=Epoch(0),
             revision=self._fleet.revision,
             pool=pool,
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -25,6 +25,7 @@
 )
 from monsoonlug.fairness import FairQueue, QueuedRequest
 from monsoonlug.gate import Outcome, RefusedRequest
+from monsoonlug.gate_measures import MIN_SPREAD_SLOTS, GateMeter, ServerCapacity
 from monsoonlug.ids import RequestClass, RequestId, ServerId
 from monsoonlug.request_limits import RequestLimits
 
@@ -244,6 +245,17 @@
             return DEFAULT_SLOWDOWN
         return self.slowdown
 
+    def measure_capacity(self, now: float) -> ServerCapacity:
+        """Returns the slots and the service time, or the rate limit if it is lower."""
+        service_time = self.speed.base_latency * self.get_slowdown(now)
+        limiter = self.limits.find(self.name)
+        if limiter is not None:
+            service_time = max(service_time, self.slots / limiter.rate)
+        if self.is_cold(now) and self.cold_rate > 0:
+            rate = self.cold_rate * COLD_RATE_FACTOR
+            service_time = max(service_time, self.slots / rate)
+        return ServerCapacity(slots=self.slots, service_time=service_time)
+
     def record_send(self, now: float) -> None:
         limiter = self.limits.find(self.name)
         if limiter is not None:
@@ -274,6 +286,7 @@
         self._waiting: dict[RequestId, tuple[QueuedRequest, ServerId | None]] = {}
         self._refused: list[RefusedRequest] = []
         self._last_sweep_at = -math.inf
+        self._meter = GateMeter()
 
     @property
     def servers(self) -> list[ServerId]:
@@ -285,6 +298,11 @@
         """Number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def is_spread(self) -> bool:
+        """Whether requests are spread over the servers by capacity."""
+        return all(item.slots >= MIN_SPREAD_SLOTS for item in self._servers.values())
+
     def set_server(self, server: ServerId, *, slots: int, cold_rate: float) -> None:
         """Adds a server, or updates its limits."""
         state = self._servers.get(server)
@@ -462,8 +480,21 @@
         """Returns the seconds after which a new shared request would be finished."""
         if not self._servers:
             return math.inf
+        if self.is_spread:
+            predicted = self._predict_spread(now)
+            if predicted is not None:
+                return predicted
         return sum(self._predict_shared(now, route, request_class))
 
+    def _predict_spread(self, now: float) -> float | None:
+        servers = []
+        running = 0
+        for server in self._servers.values():
+            running += len(server.running)
+            if server.paused_until <= now < server.closed_at:
+                servers.append(server.measure_capacity(now))
+        return self._meter.predict(now, running + self.queued, servers)
+
     def record_probe(self, now: float, server: ServerId, slowdown: float) -> None:
         """Adds a slowdown that a server reported to a probe."""
         state = self._servers.get(server)
@@ -702,7 +733,13 @@
     def _choose_server(
         self, now: float, ready: list[_ServerState]
     ) -> _ServerState | None:
-        """Returns the fastest free server, or None if a busy one would be faster."""
+        """Returns the fastest free server, or None if a busy one would be faster.
+
+        Of servers with many slots, it is the one with the lowest load for its speed. If
+        the fastest were filled first, it would be overloaded while others are idle.
+        """
+        if self.is_spread:
+            return min(ready, key=lambda item: self._rank_load(now, item))
         best = min(ready, key=lambda item: self._rank_server(now, item))
         best_time = self._service_model.estimate("", best.name) * best.get_slowdown(now)
         for other in self._servers.values():
@@ -722,6 +759,10 @@
         latency_factor = self._service_model.get_latency_factor(server.name)
         return server.is_cold(now), latency_factor * server.get_slowdown(now)
 
+    def _rank_load(self, now: float, server: _ServerState) -> tuple[bool, float]:
+        is_cold, service_time = self._rank_server(now, server)
+        return is_cold, (len(server.running) + 1) / server.slots * service_time
+
     def _sweep(self, now: float) -> None:
         self._refuse_in_outage(now)
         for request, server in list(self._waiting.values()):
