--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -21,6 +21,7 @@
 )
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
 from monsoonlug.jobs import POOLED
+from monsoonlug.load_spreading import LoadSpreader
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 from monsoonlug.version_split import VersionSplits
@@ -114,6 +115,7 @@
         self._gate_servers: dict[str, list[ServerId]] = {}
         self._loads: dict[str, GateLoad] = {}
         self._splits = VersionSplits(random=random, get_view_age=get_view_age)
+        self.spreader = LoadSpreader(random=random, failure_domain=failure_domain)
 
     @property
     def stale_rollouts(self) -> int:
@@ -140,6 +142,13 @@
         for name in set(self._loads) - set(self._gate_servers):
             if VERSION_MARK in name:
                 del self._loads[name]
+        self.spreader.update(
+            {
+                gate: records
+                for gate, records in gates.items()
+                if gate.pool not in view.tables
+            }
+        )
 
     def update_hosts(self, hosts: list[LiveHost]) -> None:
         """Sets the live hosts."""
@@ -195,10 +204,13 @@
             load = self._get_load(target.server)
             load.last_wait = MAX_WAIT
             load.reported_at = self._clock()
+            self.spreader.record_shed(load.reported_at, target.pool, target.server)
 
     def record_wait(self, target: Target, wait: float) -> None:
         """Records the wait that a gate reported with a response."""
-        self._get_load(target.server).record(self._clock(), wait)
+        now = self._clock()
+        self._get_load(target.server).record(now, wait)
+        self.spreader.record_wait(now, target.pool, target.server, wait)
         servers = self._gate_servers.get(target.server, ())
         for host, unreachable in self._unreachable.items():
             if host != target.host and unreachable.issuperset(servers):
@@ -263,16 +275,15 @@
             pool, self._pool_gates.get(pool, []), is_retry=bool(exclude)
         )
         fresh = [gate for gate in gates if gate.name not in exclude]
-        best = None
-        for gate in fresh or gates:
-            cost = self._estimate_cost(gate)
-            if best is None or cost < best[0]:
-                best = (cost, gate)
-        if best is None:
+        if self.spreader.is_spread(pool):
+            gate = self.spreader.choose(self._clock(), pool, fresh or gates)
+        else:
+            gate = min(fresh or gates, key=self._estimate_cost, default=None)
+        if gate is None:
             return None
         return Target(
-            host=self._choose_host(best[1]),
-            server=ServerId(best[1].name),
+            host=self._choose_host(gate),
+            server=ServerId(gate.name),
             gate_epoch=Epoch(0),
             revision=self._fleet.revision,
             pool=pool,
