Hold large responses at the gate, within a memory budget

A response that its caller read slowly was left unread at its server once a flow-control window of 256 KiB was full, so the server cut it off, and it occupied the server's slot until then. What was held for slow callers had no common bound.

Routes whose learned mean response is above 48 KiB (response_sizes) are served differently now. A request is sent only while its response would fit into the memory budget, and waits or is refused as not run otherwise (response_room). The gate reads the response at once and passes it on as the caller reads (response_relays), with a window of 64 KiB and back pressure from the stream to the caller's host; the slot is free when the server is done. The entry accounts for what its callers' sockets do not take (caller_buffers) and disconnects the worst one if memory is short. The penalty of gates in other failure domains grows by 2 us per byte.

--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from monsoonlug.admission import AdmittedRequest, BodyCounter
+from monsoonlug.caller_buffers import CallerBuffer, CallerBuffers
 from monsoonlug.crash_tracking import (
     MAX_FINGERPRINT_BODY,
     CrashTracker,
@@ -56,11 +57,13 @@
 )
 from monsoonlug.recordclient import RecordClient
 from monsoonlug.records import StoredAnswer
+from monsoonlug.response_sizes import find_length, is_counted
 from monsoonlug.targets import Target, TargetFinder
 
 MAX_REPLAY_BODY = 65_536  # bytes; only a body up to this size can be sent again
 MAX_STORED_BODY = 65_536  # bytes; a larger response is not stored for repeats
 NO_OWNER_RETRY_AFTER = 1.0  # seconds
+LATE_WRITE_TIME = 1.0  # seconds after the deadline for which a write may take
 BODILESS_STATUSES = frozenset({204, 304})
 
 logger = get_logger("front")
@@ -75,6 +78,7 @@
         connect: Opens the stream to a host; None if streams open by themselves.
         crash_tracker: Requests that crash servers.
         on_crash: Called after a crash was recorded.
+        caller_buffers: Accounts for large responses; None if they are not bounded.
     """
 
     finder: TargetFinder
@@ -84,6 +88,7 @@
     connect: Callable[[HostId], Awaitable[None]] | None = None
     crash_tracker: CrashTracker = field(default_factory=CrashTracker)
     on_crash: Callable[[], None] = lambda: None
+    caller_buffers: CallerBuffers | None = None
 
 
 class Delivery:
@@ -138,6 +143,8 @@
         self._response_head: ResponseHead | None = None
         self._response: web.StreamResponse | None = None
         self._is_stopping = False
+        self._caller_buffer: CallerBuffer | None = None
+        self._response_size = 0
 
     async def run(self) -> web.StreamResponse:
         """Delivers the request and returns the response that was sent.
@@ -159,6 +166,8 @@
             raise
         finally:
             self._close_exchange()
+            if self._caller_buffer is not None:
+                self._caller_buffer.close()
 
     @property
     def has_started(self) -> bool:
@@ -417,15 +426,15 @@
     def _find_length(self, head: ResponseHead) -> int | None:
         if self._admitted.method == "HEAD" or head.status in BODILESS_STATUSES:
             return 0
-        for name, value in head.headers:
-            if name.lower() == "content-length" and value.isdigit():
-                return int(value)
-        return None
+        return find_length(head.headers)
 
     async def _forward(self, frame: ResponseFrame) -> None:
         if isinstance(frame, ResponseHead):
             self._response_head = frame
             return
+        self._response_size += len(frame.data)
+        if frame.last:
+            self._record_size()
         self._store_part(frame.data)
         if self._response is None and frame.last:
             # A single write sends head and body of a small response in one packet.
@@ -436,12 +445,39 @@
         if self._response is None:
             self._response = self._build_response()
             await self._response.prepare(self._request)
+            self._open_buffer()
         if frame.data:
-            await self._response.write(frame.data)
+            if self._caller_buffer is not None:
+                self._caller_buffer.hold(self._exchange.queued_bytes + len(frame.data))
+            await self._write(frame.data)
             self._exchange.return_credit(len(frame.data))
         if frame.last:
             await self._response.write_eof()
 
+    async def _write(self, data: bytes) -> None:
+        if self._caller_buffer is None:
+            await self._response.write(data)
+            return
+        # Without a time-out, a caller that reads nothing would hold memory for ever.
+        remaining = self._deadline - self._context.clock()
+        try:
+            async with asyncio.timeout(max(0.0, remaining) + LATE_WRITE_TIME):
+                await self._response.write(data)
+        except TimeoutError:
+            raise AnswerCutOff("the caller did not read the response") from None
+
+    def _open_buffer(self) -> None:
+        buffers = self._context.caller_buffers
+        if buffers is not None:
+            route = self._admitted.route.name
+            self._caller_buffer = buffers.open(route, self._request)
+
+    def _record_size(self) -> None:
+        buffers = self._context.caller_buffers
+        method, status = self._admitted.method, self._response_head.status
+        if buffers is not None and is_counted(method, status):
+            buffers.sizes.record(self._admitted.route.name, self._response_size)
+
     def _store_part(self, data: bytes) -> None:
         if self._stored_body is None:
             return
--- a/src/monsoonlug/exchanges.py
+++ b/src/monsoonlug/exchanges.py
@@ -33,6 +33,16 @@
             StreamClosed: If the peer cannot be reached.
         """
 
+    async def drain(self) -> None:
+        """Waits while too much is queued for the peer; needed for large bodies only.
+
+        A peer that takes everything at once only lets other tasks run.
+
+        Raises:
+            StreamClosed: If the connection was lost.
+        """
+        await asyncio.sleep(0)
+
 
 class LocalPeer(Peer):
     """A peer in this process.
@@ -62,6 +72,10 @@
         self._size += size
         self._changed.set()
 
+    def reduce(self, size: int) -> None:
+        """Withdraws credit that was not used, for a smaller window."""
+        self._size -= size
+
     def close(self) -> None:
         """Makes pending and later calls of `acquire` raise `StreamClosed`."""
         self._closed = True
@@ -90,6 +104,9 @@
         peer: Connection to the gate's host.
         stream: Number of the request stream.
         attempt: Number of the attempt.
+
+    Attributes:
+        queued_bytes: Bytes of the response's body that were not received yet.
     """
 
     def __init__(self, *, peer: Peer, stream: int, attempt: int):
@@ -97,6 +114,7 @@
         self.stream = stream
         self.attempt = attempt
         self.ended = False
+        self.queued_bytes = 0
         self._frames: asyncio.Queue[ResponseFrame | None] = asyncio.Queue()
         self._credit = CreditWindow()
 
@@ -106,10 +124,7 @@
         Raises:
             StreamClosed: If the connection to the peer was lost.
         """
-        frame = await self._frames.get()
-        if frame is None:
-            raise StreamClosed()
-        return frame
+        return self._take(await self._frames.get())
 
     def receive_nowait(self) -> ResponseFrame | None:
         """Returns the next frame of the response, or None if none has arrived.
@@ -119,9 +134,13 @@
         """
         if self._frames.empty():
             return None
-        frame = self._frames.get_nowait()
+        return self._take(self._frames.get_nowait())
+
+    def _take(self, frame: ResponseFrame | None) -> ResponseFrame:
         if frame is None:
             raise StreamClosed()
+        if isinstance(frame, ResponseBody):
+            self.queued_bytes -= len(frame.data)
         return frame
 
     async def send_body(self, data: bytes, *, last: bool) -> None:
@@ -148,6 +167,8 @@
     def handle_frame(self, frame: ResponseFrame) -> None:
         """Queues a frame of the response; the last one ends the exchange."""
         self._frames.put_nowait(frame)
+        if isinstance(frame, ResponseBody):
+            self.queued_bytes += len(frame.data)
         if isinstance(frame, ResponseHead) and frame.last:
             self._handle_whole_body(frame)
         elif isinstance(frame, RequestFailed) or getattr(frame, "last", False):
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from monsoonlug.backend import BackendProtocol
+from monsoonlug.caller_buffers import CallerBuffers
 from monsoonlug.clocks import read_clock
 from monsoonlug.crash_tracking import CrashTracker, RequestState, RequestVerdict
 from monsoonlug.daemons import DaemonService
@@ -28,14 +29,22 @@
     check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
+from monsoonlug.gatehost import (
+    DEFAULT_MEMORY_BUDGET,
+    ClosingTimes,
+    GateHost,
+    LiveHost,
+    list_gates,
+)
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
-from monsoonlug.items import PoolItem
+from monsoonlug.items import ItemKind, PoolItem
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
+from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.prometheus_metrics import PrometheusMetrics
+from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.settings import split_address
 from monsoonlug.streams import MessageStream
 from monsoonlug.subscription import (
@@ -137,6 +146,9 @@
             collect_reports=self._collect_reports,
         )
         self._crash_tracker = CrashTracker()
+        budget = MemoryBudget(limit=DEFAULT_MEMORY_BUDGET)
+        self._response_sizes = ResponseSizes()
+        self._caller_buffers = CallerBuffers(budget=budget, sizes=self._response_sizes)
         self._closing_times = ClosingTimes()
         self._gate_host = GateHost(
             clock=read_clock,
@@ -144,6 +156,8 @@
             open_backend=self._open_backend,
             random=random,
             on_notice=self._subscription.send_heartbeat_now,
+            budget=budget,
+            sizes=self._response_sizes,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -158,6 +172,7 @@
             is_reachable=self._is_reachable,
             blocks=self._subscription.blocks,
             closing_times=self._closing_times,
+            sizes=self._response_sizes,
         )
         delivery_context = DeliveryContext(
             finder=self._finder,
@@ -167,6 +182,7 @@
             connect=lambda host: self._host_links.connect(host),
             crash_tracker=self._crash_tracker,
             on_crash=self._subscription.send_heartbeat_now,
+            caller_buffers=self._caller_buffers,
         )
         self._ingress = Ingress(
             protocol=self._caller_protocol,
@@ -221,7 +237,7 @@
         for runner in self._runners:
             await runner.cleanup()
         self._ingress.is_closed = True
-        while self._gate_host.running and read_clock() < drain_until:
+        while self._gate_host.is_busy and read_clock() < drain_until:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         if self._ingress.running or self._gate_host.running:
             logger.warning(
@@ -299,6 +315,7 @@
             "Requests that crash servers and are blocked.",
             lambda: self._crash_tracker.count_blocked(read_clock()),
         )
+        self._add_memory_gauges(add_gauge)
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
@@ -313,6 +330,34 @@
         if self._settings.metrics_address is not None:
             await self._metrics.start(self._settings.metrics_address)
 
+    def _add_memory_gauges(self, add_gauge: Callable) -> None:
+        room = self._gate_host.large_responses.room
+        add_gauge(
+            "held_response_bytes",
+            "Bytes of large responses that are held for slow readers.",
+            lambda: room.held + self._caller_buffers.held,
+        )
+        add_gauge(
+            "expected_response_bytes",
+            "Bytes that large responses hold or may still need at gates.",
+            lambda: room.needed,
+        )
+        add_gauge(
+            "waiting_for_memory",
+            "Requests with large responses that wait at gates for memory.",
+            lambda: room.waiting,
+        )
+        add_gauge(
+            "refused_for_memory",
+            "Requests with large responses that were refused for lack of memory.",
+            lambda: room.refused,
+        )
+        add_gauge(
+            "evicted_callers",
+            "Callers of large responses that were disconnected for lack of memory.",
+            lambda: self._caller_buffers.evicted,
+        )
+
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._ingress.is_ready() else 503)
 
@@ -374,6 +419,8 @@
     def _handle_view(self, view: FleetView, changed: set[ViewPart]) -> None:
         if ViewPart.ITEMS in changed:
             self._ingress.update(view)
+            routes = {item.name for item in view.items.iterate(ItemKind.ROUTE)}
+            self._response_sizes.retain(routes)
         if changed != {ViewPart.KEYS}:
             gates = list_gates(view)
             self._closing_times.update(read_clock(), view)
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -20,6 +20,7 @@
 )
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
 from monsoonlug.jobs import POOLED
+from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 
@@ -27,6 +28,9 @@
 FENCED_BLOCK_TIME = 0.25  # seconds until a server that rejected a key is retried
 # Seconds of waiting time that are accepted to keep traffic in the failure domain.
 REMOTE_DOMAIN_PENALTY = 0.060
+# Seconds that one byte of a response takes between failure domains, at 4 Mbit/s; links
+# have 2 to 6 Mbit/s. 30 KB, the size of the largest small responses, take the 60 ms.
+REMOTE_SECONDS_PER_BYTE = 2e-6
 DEFAULT_WAIT = 0.150  # seconds, assumed until the first response of a gate
 MAX_WAIT = 2.0  # seconds; longer waits are counted as this
 # Seconds in which the estimate decays from the last reported wait to the mean.
@@ -77,6 +81,7 @@
         is_reachable: Whether there is an open, responsive stream to a host.
         blocks: Key ranges that are temporarily not served.
         closing_times: Closing times of servers out of service; updated by their owner.
+        sizes: Response sizes of the routes.
     """
 
     def __init__(
@@ -89,6 +94,7 @@
         is_reachable: Callable[[HostId], bool],
         blocks: KeyBlocks,
         closing_times: ClosingTimes,
+        sizes: ResponseSizes | None = None,
     ):
         super().__init__(clock=clock, random=random)
         self.wait_timeout = OWNER_TIMEOUT
@@ -98,6 +104,7 @@
         self._blocks = blocks
         self._fleet = FleetView()
         self._closing_times = closing_times
+        self._sizes = sizes or ResponseSizes()
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
         self._ranked_hosts: dict[str, list[LiveHost]] = {}
@@ -247,8 +254,9 @@
         gates = self._pool_gates.get(pool, [])
         fresh = [gate for gate in gates if gate.name not in exclude]
         best = None
+        penalty = self._estimate_remote_penalty(admitted.route.name)
         for gate in fresh or gates:
-            cost = self._estimate_cost(gate)
+            cost = self._estimate_cost(gate, penalty)
             if best is None or cost < best[0]:
                 best = (cost, gate)
         if best is None:
@@ -267,9 +275,14 @@
             return False
         return self._choose_host(gate) == self._host
 
-    def _estimate_cost(self, gate: GateId) -> float:
+    def _estimate_remote_penalty(self, route: str) -> float:
+        """Returns the seconds added to the wait of a gate in another failure domain."""
+        transfer = self._sizes.get_mean(route) * REMOTE_SECONDS_PER_BYTE
+        return max(REMOTE_DOMAIN_PENALTY, transfer)
+
+    def _estimate_cost(self, gate: GateId, remote_penalty: float) -> float:
         wait = self._get_load(gate.name).estimate(self._clock())
-        penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
+        penalty = remote_penalty if gate.failure_domain != self._domain else 0.0
         return wait + penalty + TIE_RANGE * self._random.random()
 
     def can_serve(self) -> bool:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -29,6 +29,7 @@
     NotGate,
     OutcomeUnknown,
     ProcessGone,
+    Refusal,
     ServerCrashed,
     ServerUnreachable,
     StreamClosed,
@@ -50,9 +51,13 @@
 from monsoonlug.items import ItemKind, PoolItem
 from monsoonlug.jobs import POOLED, Job, JobTable
 from monsoonlug.logs import get_logger
+from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.messages import RequestHead
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
+from monsoonlug.response_relays import LargeResponses
+from monsoonlug.response_room import RoomRequest, find_latest
+from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.serverqueue import (
     RECONNECT_DELAY,
     ServerQueue,
@@ -72,6 +77,9 @@
 MIN_OVERDUE_SERVERS = 2  # whose responses are overdue in that time
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
+# Bytes that a process holds for callers and servers, until this is a setting. An entry
+# must stay below 47 MB of resident memory.
+DEFAULT_MEMORY_BUDGET = 8 * 1_048_576
 
 logger = get_logger("gate")
 
@@ -229,6 +237,8 @@
         closing_times: Closing times of servers out of service; updated by their owner.
         random: Source of the choice of servers to check.
         on_notice: Called when `list_server_notices` has a new row.
+        budget: Memory budget of the process.
+        sizes: Response sizes of the routes.
     """
 
     def __init__(
@@ -239,8 +249,16 @@
         open_backend: Callable[[FleetServer, PoolItem], BackendProtocol],
         random: Random | None = None,
         on_notice: Callable[[], None] = lambda: None,
+        budget: MemoryBudget | None = None,
+        sizes: ResponseSizes | None = None,
     ):
         self._on_notice = on_notice
+        self._large_responses = LargeResponses(
+            clock=clock,
+            budget=budget or MemoryBudget(limit=DEFAULT_MEMORY_BUDGET),
+            sizes=sizes or ResponseSizes(),
+            on_room=self.process_queues,
+        )
         self._clock = clock
         self._open_backend = open_backend
         self._view = FleetView()
@@ -298,7 +316,18 @@
     @property
     def queued(self) -> int:
         """Number of waiting requests at all gates."""
-        return sum(queue.queued for queue in self._queues.values())
+        queued = sum(queue.queued for queue in self._queues.values())
+        return queued + self._large_responses.room.waiting
+
+    @property
+    def large_responses(self) -> LargeResponses:
+        """The large responses at the gates of this host."""
+        return self._large_responses
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests are running, or responses are being passed on."""
+        return bool(self._running or self._large_responses.tasks)
 
     def update(self, view: FleetView, gates: dict[GateId, list[FleetServer]]) -> None:
         """Applies a view with changed items or servers, and its gates."""
@@ -429,6 +458,7 @@
         """Waits for the running requests, then closes the connections to servers."""
         self._reachability.stop()
         tasks = [attempt.task for attempt in self._running.values()]
+        tasks += self._large_responses.tasks
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_TIMEOUT)
         for _, backend in self._backends.values():
@@ -437,7 +467,7 @@
     def process_queues(self) -> None:
         """Sends requests that are due, refuses late ones and schedules the next run."""
         now = self._clock()
-        wake = None
+        wake = self._admit_large(now)
         for queue in self._queues.values():
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
@@ -470,8 +500,7 @@
         if self._reachability.is_isolated(PoolId(head.pool)):
             job.fail(HostIsolated(retry_after=RECONNECT_DELAY))
             return
-        queue = self._get_queue(head.server)
-        if queue is None:
+        if self._get_queue(head.server) is None:
             job.fail(NotGate())
             return
         request = QueuedRequest(
@@ -485,13 +514,48 @@
             objective=now + head.objective,
             route=head.route,
         )
-        only_server = ServerId(head.server) if head.slice != POOLED else None
-        refusal = queue.enqueue(now, request, only_server)
+        if self._large_responses.is_large(head.route):
+            refusal = self._wait_for_room(now, request)
+        else:
+            refusal = self._enqueue(now, request)
         if refusal is not None:
             job.fail(refusal.build_error())
             return
         self.process_queues()
 
+    def _enqueue(self, now: float, request: QueuedRequest) -> Refusal | None:
+        head = request.payload.head
+        queue = self._get_queue(head.server)
+        if queue is None:
+            return Refusal(error=NotGate)
+        only_server = ServerId(head.server) if head.slice != POOLED else None
+        return queue.enqueue(now, request, only_server)
+
+    def _wait_for_room(self, now: float, request: QueuedRequest) -> Refusal | None:
+        """Lets a request wait until its large response would fit into memory."""
+        waiting = RoomRequest(
+            request_id=request.request_id,
+            route=request.route,
+            latest=find_latest(
+                now, objective=request.objective, deadline=request.deadline
+            ),
+            payload=request,
+        )
+        return self._large_responses.room.enqueue(waiting)
+
+    def _admit_large(self, now: float) -> float | None:
+        """Queues the requests that there is room for; returns when to look again."""
+        room = self._large_responses.room
+        for waiting, expected in room.admit():
+            job: Job = waiting.payload.payload
+            job.expected = expected
+            refusal = self._enqueue(now, waiting.payload)
+            if refusal is not None:
+                job.fail(refusal.build_error())
+        for waiting, refusal in room.expire(now):
+            waiting.payload.payload.fail(refusal.build_error())
+        return room.find_wake_time()
+
     def _get_queue(self, name: str) -> ServerQueue | None:
         queue = self._queues.get(name)
         if queue is not None:
@@ -532,6 +596,8 @@
             return
         request_id = RequestId(job.head.request)
         job.close()
+        if self._large_responses.room.cancel(request_id):
+            return
         queue = self._queues.get(job.head.server)
         if queue is not None and queue.cancel(request_id):
             return
@@ -578,7 +644,8 @@
             logger.bind(request=job.head.request).exception("Attempt failed.")
             job.fail(InternalError())
         finally:
-            job.close()
+            if not self._large_responses.has_taken_over(job):
+                job.close()
             del self._running[request.request_id]
             existing = self._backends.get(server)
             slowdown = existing[1].slowdown if existing is not None else 1.0
@@ -706,6 +773,7 @@
             backend,
             estimate_latency=estimate_latency if is_pooled else None,
             on_head=partial(self._handle_response, server),
+            observer=self._large_responses,
         )
 
     def _handle_response(self, server: ServerId) -> None:
--- a/src/monsoonlug/host_links.py
+++ b/src/monsoonlug/host_links.py
@@ -33,6 +33,10 @@
             self._stream.close()
         self._stream.send(message, batched=True)
 
+    async def drain(self) -> None:
+        """Waits while too much is queued; see `Peer`."""
+        await self._stream.drain()
+
 
 class LinkPeer(Peer):
     """A host that is reached over a link of this host.
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -1,10 +1,11 @@
 """Relays requests of callers' hosts to backend servers, and their responses back."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
-from monsoonlug.backend import BackendProtocol, BackendRequest
+from monsoonlug.backend import BackendProtocol, BackendRequest, BackendResponse
 from monsoonlug.exceptions import DamagedFrame, MonsoonlugError, StreamClosed
 from monsoonlug.exchanges import MAX_CHUNK_BYTES, WINDOW_BYTES, CreditWindow, Peer
 from monsoonlug.ids import SLICE_COUNT, Epoch, RequestId, Slice
@@ -17,6 +18,7 @@
     ResponseBody,
     ResponseHead,
 )
+from monsoonlug.response_room import ExpectedResponse
 
 POOLED = -1  # slice number of a request on a pooled route
 
@@ -36,6 +38,9 @@
         head: Head of the request.
         peer: The peer that sent the request and receives the response.
         deadline: Seconds of this host's clock.
+
+    Attributes:
+        expected: The memory that its response needs, if it is large.
     """
 
     def __init__(self, *, head: RequestHead, peer: Peer, deadline: float):
@@ -44,6 +49,7 @@
         self.deadline = deadline
         self.ended = False
         self.has_response = False
+        self.expected: ExpectedResponse | None = None
         self._body_parts: asyncio.Queue[_BodyPart | None] = asyncio.Queue()
         self._unread_bytes = 0
         self._sent_bytes = 0
@@ -71,6 +77,10 @@
         """Adds flow-control credit, in bytes, for the response body."""
         self._credit.add(size)
 
+    def limit_window(self, reduction: int) -> None:
+        """Reduces the flow-control window of the response body, in bytes."""
+        self._credit.reduce(reduction)
+
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yields the parts of the request's body.
 
@@ -146,15 +156,19 @@
         *,
         estimate_latency: Callable[[], float] | None = None,
         on_head: Callable[[], None] = lambda: None,
+        observer: "ResponseObserver | None" = None,
     ) -> None:
         """Sends the request to its server and relays the response.
 
+        A large response may be passed on after this method has returned.
+
         Args:
             backend: Client of the server.
             estimate_latency: Returns the predicted seconds until the response to a new
                 request; called when the response head arrives. None if the prediction
                 is not sent to the caller's host.
             on_head: Called when the response head has arrived.
+            observer: Learns the response's size and relays it if it is large.
 
         Raises:
             MonsoonlugError: If there is no response, or only a part of it.
@@ -181,11 +195,22 @@
             body = response.read_whole(MAX_CHUNK_BYTES)
             wait = estimate_latency() if estimate_latency is not None else 0.0
             self.send_head(response.status, response.headers, body, wait=wait)
+            relay = None
+            if observer is not None:
+                relay = observer.begin(self, response, body)
             if body is not None:
                 return
+            if relay is not None:
+                await relay.read(response)
+                observer.end(self, response, relay.total)
+                return
+            total = 0
             async for part in response.iterate():
+                total += len(part)
                 await self.send_part(part)
             await self.send_part(b"", last=True)
+            if observer is not None:
+                observer.end(self, response, total)
         except BaseException:
             response.cancel()
             raise
@@ -212,6 +237,49 @@
         self.ended = True
         self._body_parts.put_nowait(None)
         self._credit.close()
+        if self.expected is not None:
+            self.expected.close()
+
+
+class ResponseReader(ABC):
+    """Reads one response as fast as its server sends it.
+
+    Attributes:
+        total: Bytes that were read.
+    """
+
+    total: int
+
+    @abstractmethod
+    async def read(self, response: BackendResponse) -> None:
+        """Reads a response to its end, which may be before it was passed on.
+
+        Raises:
+            MonsoonlugError: If the response is incomplete.
+        """
+
+
+class ResponseObserver(ABC):
+    """Is told of the responses at a gate."""
+
+    @abstractmethod
+    def begin(
+        self, job: Job, response: BackendResponse, body: bytes | None
+    ) -> ResponseReader | None:
+        """Handles a response whose head has arrived.
+
+        Args:
+            job: The request.
+            response: The response.
+            body: The body if it has arrived as well; it then needs no reader.
+
+        Returns:
+            What reads and passes on the response, or None if the job does.
+        """
+
+    @abstractmethod
+    def end(self, job: Job, response: BackendResponse, total: int) -> None:
+        """Handles the end of a response with a body of `total` bytes."""
 
 
 class JobTable:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -30,6 +30,8 @@
 SERVICE = "desk"
 HOST_HEADER = "lights.example"
 UNSAFE_PREFIX = "/orders/"
+DOWNLOAD_PREFIX = "/files/"
+LARGE_PART = 16_384  # bytes that a server writes at a time
 WORKSPACE_KEY = "key-of-the-counter"
 
 _networks = itertools.count(1)
@@ -147,6 +149,12 @@
         raw_answer: Bytes that it sends in place of each answer, with ID for the id of
             the request, before it closes the connection; or None.
         crashes: Times of the crashes.
+        body_size: Bytes of the bodies on the route for downloads.
+        part_delay: Seconds between two parts of such a body.
+        patience: Seconds after which a response that is not read is cut off.
+        is_chunked: Whether such a body has no declared length.
+        unread: Number of responses that were cut off for that reason.
+        abandoned: Number of such responses whose connection was lost.
     """
 
     def __init__(
@@ -168,6 +176,12 @@
         self.extra_headers = {}
         self.rest = 0.0
         self.raw_answer = None
+        self.body_size = 0
+        self.part_delay = 0.0
+        self.patience = 1.0
+        self.is_chunked = False
+        self.unread = 0
+        self.abandoned = 0
         self._writers = set()
         self._tasks = set()
 
@@ -319,13 +333,46 @@
             "HTTP/1.1 200 OK",
             f"X-Monsoonlug-Request-Id: {request_id}",
             f"X-Monsoonlug-Server-Stamp: {self.name}",
-            f"Content-Length: {len(path)}",
         ]
+        if self.body_size and path.startswith(DOWNLOAD_PREFIX):
+            return await self._answer_large(writer, lines)
+        lines.append(f"Content-Length: {len(path)}")
         lines += [f"{name}: {value}" for name, value in self.extra_headers.items()]
         writer.write("\r\n".join([*lines, "", path]).encode())
         await writer.drain()
         return True
 
+    async def _answer_large(self, writer, lines):
+        """Sends a large body as fast as it is read; cuts it off if it is not."""
+        framing = f"Content-Length: {self.body_size}"
+        if self.is_chunked:
+            framing = "Transfer-Encoding: chunked"
+        writer.write("\r\n".join([*lines, framing, "", ""]).encode())
+        writer.transport.set_write_buffer_limits(high=LARGE_PART)
+        # The kernel would take a whole response, and nobody would notice a slow reader.
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LARGE_PART)
+        try:
+            for start in range(0, self.body_size, LARGE_PART):
+                part = b"x" * min(LARGE_PART, self.body_size - start)
+                if self.is_chunked:
+                    part = f"{len(part):x}\r\n".encode() + part + b"\r\n"
+                writer.write(part)
+                async with asyncio.timeout(self.patience):
+                    await writer.drain()
+                await asyncio.sleep(self.part_delay)
+            if self.is_chunked:
+                writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        except TimeoutError:
+            self.unread += 1
+            writer.transport.abort()
+            return False
+        except ConnectionError:
+            self.abandoned += 1
+            return False
+        return True
+
 
 async def _read_body(reader, named):
     if "content-length" in named:
@@ -608,6 +655,12 @@
             "public": False,
         }
         unsafe = route | {"pathPrefix": UNSAFE_PREFIX, "type": "unsafe"}
+        download = route | {
+            "pathPrefix": DOWNLOAD_PREFIX,
+            "type": "download",
+            "timeout": "20s",
+            "targetLatency": "10s",
+        }
         service = {
             "healthPath": "/healthz",
             "maxConnections": 100,
@@ -629,6 +682,7 @@
         for kind, name, spec in (
             ("routes", "r-1", route),
             ("routes", "r-2", unsafe),
+            ("routes", "r-3", download),
             ("services", SERVICE, service),
             ("tenants", "counter", tenant),
             ("limits", "", limits),
