--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from monsoonlug.backend import BackendProtocol
+from monsoonlug.caller_buffers import CallerBuffers
 from monsoonlug.client_ports import ClientPorts
 from monsoonlug.clocks import read_clock
 from monsoonlug.connection_limits import SWEEP_INTERVAL
@@ -30,15 +31,21 @@
     check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
+from monsoonlug.gatehost import (
+    ClosingTimes,
+    GateHost,
+    LiveHost,
+    list_gates,
+)
 from monsoonlug.host_limits import HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
-from monsoonlug.items import PoolItem
+from monsoonlug.items import ItemKind, PoolItem
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
 from monsoonlug.prometheus_metrics import PrometheusMetrics
+from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.streams import MessageStream
 from monsoonlug.subscription import (
     ROLE,
@@ -145,6 +152,9 @@
             collect_reports=self._collect_reports,
         )
         self._crash_tracker = CrashTracker()
+        budget = self._ports.budget
+        self._response_sizes = ResponseSizes()
+        self._caller_buffers = CallerBuffers(budget=budget, sizes=self._response_sizes)
         self._closing_times = ClosingTimes()
         self._outcomes = VersionOutcomes(
             host=settings.host,
@@ -158,6 +168,8 @@
             random=random,
             on_notice=self._subscription.send_heartbeat_now,
             outcomes=self._outcomes,
+            budget=budget,
+            sizes=self._response_sizes,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -173,6 +185,7 @@
             blocks=self._subscription.blocks,
             closing_times=self._closing_times,
             get_view_age=self._subscription.get_view_age,
+            sizes=self._response_sizes,
         )
         delivery_context = DeliveryContext(
             finder=self._finder,
@@ -182,6 +195,7 @@
             connect=lambda host: self._host_links.connect(host),
             crash_tracker=self._crash_tracker,
             on_crash=self._subscription.send_heartbeat_now,
+            caller_buffers=self._caller_buffers,
         )
         self._ingress = Ingress(
             protocol=self._caller_protocol,
@@ -240,7 +254,7 @@
         for runner in self._runners:
             await runner.cleanup()
         self._ingress.is_closed = True
-        while self._gate_host.running and read_clock() < drain_until:
+        while self._gate_host.is_busy and read_clock() < drain_until:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         if self._ingress.running or self._gate_host.running:
             logger.warning(
@@ -319,6 +333,7 @@
             "Requests that crash servers and are blocked.",
             lambda: self._crash_tracker.count_blocked(read_clock()),
         )
+        self._add_memory_gauges(add_gauge)
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
@@ -338,6 +353,34 @@
         if self._settings.metrics_address is not None:
             await self._ports.start_metrics(self._settings.metrics_address)
 
+    def _add_memory_gauges(self, add_gauge: Callable) -> None:
+        room = self._gate_host.large_responses.room
+        add_gauge(
+            "held_response_bytes",
+            "Bytes of large responses that are held for slow readers.",
+            lambda: room.held + self._caller_buffers.held,
+        )
+        add_gauge(
+            "expected_response_bytes",
+            "Bytes that large responses hold or may still need at gates.",
+            lambda: room.needed,
+        )
+        add_gauge(
+            "waiting_for_memory",
+            "Requests with large responses that wait at gates for memory.",
+            lambda: room.waiting,
+        )
+        add_gauge(
+            "refused_for_memory",
+            "Requests with large responses that were refused for lack of memory.",
+            lambda: room.refused,
+        )
+        add_gauge(
+            "evicted_callers",
+            "Callers of large responses that were disconnected for lack of memory.",
+            lambda: self._caller_buffers.evicted,
+        )
+
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._ingress.is_ready() else 503)
 
@@ -399,6 +442,8 @@
     def _handle_view(self, view: FleetView, changed: set[ViewPart]) -> None:
         if ViewPart.ITEMS in changed:
             self._ingress.update(view)
+            routes = {item.name for item in view.items.iterate(ItemKind.ROUTE)}
+            self._response_sizes.retain(routes)
         if changed != {ViewPart.KEYS}:
             gates = list_gates(view)
             self._closing_times.update(read_clock(), view)
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -22,6 +22,7 @@
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
 from monsoonlug.jobs import POOLED
 from monsoonlug.load_spreading import LoadSpreader
+from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target, TargetFinder
 from monsoonlug.version_split import VersionSplits
@@ -30,6 +31,9 @@
 FENCED_BLOCK_TIME = 0.25  # seconds until a server that rejected a key is retried
 # Seconds of waiting time that are accepted to keep traffic in the failure domain.
 REMOTE_DOMAIN_PENALTY = 0.060
+# Seconds that one byte of a response takes between failure domains, at 4 Mbit/s; links
+# have 2 to 6 Mbit/s. 30 KB, the size of the largest small responses, take the 60 ms.
+REMOTE_SECONDS_PER_BYTE = 2e-6
 DEFAULT_WAIT = 0.150  # seconds, assumed until the first response of a gate
 MAX_WAIT = 2.0  # seconds; longer waits are counted as this
 # Seconds in which the estimate decays from the last reported wait to the mean.
@@ -81,6 +85,7 @@
         blocks: Key ranges that are temporarily not served.
         closing_times: Closing times of servers out of service; updated by their owner.
         get_view_age: Returns the seconds since the view was known to be current.
+        sizes: Response sizes of the routes.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         blocks: KeyBlocks,
         closing_times: ClosingTimes,
         get_view_age: Callable[[], float] = lambda: 0.0,
+        sizes: ResponseSizes | None = None,
     ):
         super().__init__(clock=clock, random=random)
         self.wait_timeout = OWNER_TIMEOUT
@@ -103,6 +109,7 @@
         self._blocks = blocks
         self._fleet = FleetView()
         self._closing_times = closing_times
+        self._sizes = sizes or ResponseSizes()
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
         self._ranked_hosts: dict[str, list[LiveHost]] = {}
@@ -275,10 +282,17 @@
             pool, self._pool_gates.get(pool, []), is_retry=bool(exclude)
         )
         fresh = [gate for gate in gates if gate.name not in exclude]
+        penalty = self._estimate_remote_penalty(admitted.route.name)
         if self.spreader.is_spread(pool):
-            gate = self.spreader.choose(self._clock(), pool, fresh or gates)
+            gate = self.spreader.choose(
+                self._clock(), pool, fresh or gates, crossing_cost=penalty
+            )
         else:
-            gate = min(fresh or gates, key=self._estimate_cost, default=None)
+            gate = min(
+                fresh or gates,
+                key=lambda gate: self._estimate_cost(gate, penalty),
+                default=None,
+            )
         if gate is None:
             return None
         return Target(
@@ -295,9 +309,14 @@
             return False
         return self._choose_host(gate) == self._host
 
-    def _estimate_cost(self, gate: GateId) -> float:
+    def _estimate_remote_penalty(self, route: str) -> float:
+        """Returns the seconds added to the wait of a gate in another failure domain."""
+        transfer = self._sizes.get_mean(route) * REMOTE_SECONDS_PER_BYTE
+        return max(REMOTE_DOMAIN_PENALTY, transfer)
+
+    def _estimate_cost(self, gate: GateId, remote_penalty: float) -> float:
         wait = self._get_load(gate.name).estimate(self._clock())
-        penalty = REMOTE_DOMAIN_PENALTY if gate.failure_domain != self._domain else 0.0
+        penalty = remote_penalty if gate.failure_domain != self._domain else 0.0
         return wait + penalty + TIE_RANGE * self._random.random()
 
     def can_serve(self) -> bool:
--- a/src/monsoonlug/load_spreading.py
+++ b/src/monsoonlug/load_spreading.py
@@ -166,12 +166,20 @@
         if state is not None:
             state.avoided_until = now + SHED_TIME
 
-    def choose(self, now: float, gates: Sequence[GateId]) -> GateId | None:
+    def choose(
+        self,
+        now: float,
+        gates: Sequence[GateId],
+        *,
+        crossing_cost: float = CROSSING_COST,
+    ) -> GateId | None:
         """Returns the gate of the next request, or None if there is none.
 
         Args:
             now: Seconds of a monotonic clock.
             gates: Gates that may be chosen.
+            crossing_cost: Seconds of waiting that the request must save to cross
+                between failure domains.
         """
         states = [self._gates[gate.name] for gate in gates if gate.name in self._gates]
         if not states:
@@ -182,7 +190,7 @@
         for state, weight in zip(states, weights, strict=True):
             total = totals.setdefault(state.gate.failure_domain, _DomainTotal())
             total.add(now, state, weight)
-        shares = self._divide(now, totals)
+        shares = self._divide(now, totals, crossing_cost)
         best = states[0]
         for state, weight in zip(states, weights, strict=True):
             domain = state.gate.failure_domain
@@ -210,7 +218,10 @@
         return weights
 
     def _divide(
-        self, now: float, totals: dict[FailureDomain, _DomainTotal]
+        self,
+        now: float,
+        totals: dict[FailureDomain, _DomainTotal],
+        crossing_cost: float,
     ) -> dict[FailureDomain, float]:
         """Returns the share of the requests for each failure domain."""
         others = {name: item for name, item in totals.items() if name != self._domain}
@@ -231,9 +242,15 @@
         saved = own_wait
         for name, share in shares.items():
             saved -= share * waits[name]
-        self._update_spill(now, saved)
-        shares = {name: self._spill * share for name, share in shares.items()}
-        shares[self._domain] = 1 - self._spill
+        if crossing_cost > CROSSING_COST:
+            # Requests that cost more to cross leave the spill of the others as it is.
+            spill = SPILL_GAIN * (saved - crossing_cost)
+            spill = min(max(spill, 0.0), MAX_SPILL)
+        else:
+            self._update_spill(now, saved)
+            spill = self._spill
+        shares = {name: spill * share for name, share in shares.items()}
+        shares[self._domain] = 1 - spill
         return shares
 
     def _update_spill(self, now: float, saved: float) -> None:
@@ -285,10 +302,15 @@
         return pool in self._pools
 
     def choose(
-        self, now: float, pool: PoolId, gates: Sequence[GateId]
+        self,
+        now: float,
+        pool: PoolId,
+        gates: Sequence[GateId],
+        *,
+        crossing_cost: float = CROSSING_COST,
     ) -> GateId | None:
         """Returns the gate of the next request of a pool; see `PoolSpreader`."""
-        return self._pools[pool].choose(now, gates)
+        return self._pools[pool].choose(now, gates, crossing_cost=crossing_cost)
 
     def record_wait(self, now: float, pool: str, name: str, predicted: float) -> None:
         """Records the seconds that a gate predicts for a new request."""
