Name the route in the fake of the version split's test

Cause: the penalty of other failure domains depends on the route's responses. Change: the fake route has a name. Measured: tests/test_version_split.py passes.

--- a/tests/test_version_split.py
+++ b/tests/test_version_split.py
@@ -91,7 +91,7 @@
 
     def choose(self, exclude=()):
         """Returns the gate of a request, or None."""
-        route = SimpleNamespace(pool="desk")
+        route = SimpleNamespace(name="read", pool="desk")
         admitted = SimpleNamespace(routing_key="", route=route)
         target = self.finder.find(admitted, exclude)
         return target and target.server
