--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -310,6 +310,27 @@
             "Revision of the view.",
             lambda: self._subscription.view.revision,
         )
+        add_gauge(
+            "busiest_server_utilization",
+            "Largest share of slots in use of a server with many slots, at gates.",
+            lambda: self._gate_host.busiest_utilization,
+        )
+        add_gauge(
+            "mean_server_utilization",
+            "Mean share of slots in use of the servers with many slots, at gates.",
+            lambda: self._gate_host.mean_utilization,
+        )
+        add_gauge(
+            "spilled_share",
+            "Largest share of a pool's requests for other failure domains.",
+            lambda: self._finder.spreader.max_spill,
+        )
+        self._metrics.add_counters(
+            "gate_requests",
+            "Requests that this entry sent to a gate of servers with many slots.",
+            "gate",
+            self._finder.spreader.count_sent,
+        )
         if self._settings.metrics_address is not None:
             await self._metrics.start(self._settings.metrics_address)
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -300,6 +300,24 @@
         """Number of waiting requests at all gates."""
         return sum(queue.queued for queue in self._queues.values())
 
+    @property
+    def busiest_utilization(self) -> float:
+        """Largest share of a server's slots in use, of servers with many slots."""
+        return max(self._list_utilizations(), default=0.0)
+
+    @property
+    def mean_utilization(self) -> float:
+        """Mean share of a server's slots in use, of servers with many slots."""
+        shares = self._list_utilizations()
+        return sum(shares) / len(shares) if shares else 0.0
+
+    def _list_utilizations(self) -> list[float]:
+        shares = []
+        for queue in self._queues.values():
+            if queue.is_spread:
+                shares.extend(queue.list_utilizations())
+        return shares
+
     def update(self, view: FleetView, gates: dict[GateId, list[FleetServer]]) -> None:
         """Applies a view with changed items or servers, and its gates."""
         self._view = view
--- a/src/monsoonlug/load_spreading.py
+++ b/src/monsoonlug/load_spreading.py
@@ -29,6 +29,9 @@
 # domains would swing, as it acts on them only after the age of the information.
 SPILL_GAIN = 3.0  # per second
 SPILL_RATE = 0.3  # per square second
+# The same while a request saves less than it costs. The share returns to 0 within some
+# seconds of the end of a peak, instead of nearly a minute.
+SPILL_RETURN_RATE = 4.0  # per square second
 TIME_CONSTANT = 0.5  # seconds; of the moving average of a gate's predictions
 MIN_WEIGHT = 0.3  # of one response in that average
 MAX_PREDICTION = 2.0  # seconds; longer predictions are counted as this
@@ -128,11 +131,6 @@
         """Share of the requests that other failure domains get."""
         return self._spill
 
-    @property
-    def size(self) -> int:
-        """Number of gates of which something is kept."""
-        return len(self._gates)
-
     @property
     def sent(self) -> dict[str, int]:
         """Requests sent to each gate since it was added."""
@@ -183,11 +181,14 @@
             total = totals.setdefault(state.gate.failure_domain, _DomainTotal())
             total.add(now, state, weight)
         shares = self._divide(now, totals)
-        best = states[0]
+        best = None
         for state, weight in zip(states, weights, strict=True):
             domain = state.gate.failure_domain
+            # A gate may have credit left from the time of an earlier share.
+            if shares[domain] <= 0:
+                continue
             state.credit += shares[domain] * weight / totals[domain].weight
-            if state.credit > best.credit:
+            if best is None or state.credit > best.credit:
                 best = state
         best.credit -= 1.0
         best.sent += 1
@@ -241,7 +242,8 @@
         elapsed = min(now - self._spill_updated_at, 1.0)
         self._spill_updated_at = now
         excess = saved - CROSSING_COST
-        self._spill_base += elapsed * SPILL_RATE * excess
+        rate = SPILL_RATE if excess > 0 else SPILL_RETURN_RATE
+        self._spill_base += elapsed * rate * excess
         self._spill_base = min(max(self._spill_base, 0.0), MAX_SPILL)
         spill = self._spill_base + SPILL_GAIN * excess
         self._spill = min(max(spill, 0.0), MAX_SPILL)
@@ -260,6 +262,18 @@
         self._domain = failure_domain
         self._pools: dict[PoolId, PoolSpreader] = {}
 
+    @property
+    def max_spill(self) -> float:
+        """Largest share of a pool's requests that other failure domains get."""
+        return max((item.spill for item in self._pools.values()), default=0.0)
+
+    def count_sent(self) -> dict[str, int]:
+        """Returns the requests that this entry sent to each gate since it was added."""
+        counts = {}
+        for spreader in self._pools.values():
+            counts.update(spreader.sent)
+        return counts
+
     def update(self, gates: Mapping[GateId, Iterable[FleetServer]]) -> None:
         """Applies the gates of all pools without keys; forgets all others."""
         slots: dict[PoolId, dict[GateId, int]] = {}
--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -1,10 +1,12 @@
 """Prometheus metrics of a daemon, served on a separate address."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector
 
 from monsoonlug.settings import split_address
 
@@ -27,6 +29,29 @@
 )  # seconds; the latency objectives of the routes are between 0.3 and 0.8
 
 
+class _CounterCollector(Collector):
+    """Reads the counters of one name when the metrics are scraped."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ):
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        family = CounterMetricFamily(self._name, self._help_text, labels=[self._label])
+        for value, count in self._read().items():
+            family.add_metric([value], count)
+        yield family
+
+
 class PrometheusMetrics:
     """Counters, histograms and gauges of one daemon."""
 
@@ -68,6 +93,24 @@
         gauge = Gauge(f"monsoonlug_{name}", help_text, registry=self._registry)
         gauge.set_function(read)
 
+    def add_counters(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Adds counters that are read by the value of their label when scraped."""
+        self._registry.register(
+            _CounterCollector(
+                name=f"monsoonlug_{name}", help_text=help_text, label=label, read=read
+            )
+        )
+
+    def format(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
     async def start(self, address: str) -> None:
         """Starts serving the metrics."""
         app = web.Application()
@@ -83,5 +126,4 @@
             await self._runner.cleanup()
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
-        text = generate_latest(self._registry)
-        return web.Response(body=text, content_type="text/plain")
+        return web.Response(body=self.format(), content_type="text/plain")
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -486,6 +486,10 @@
                 return predicted
         return sum(self._predict_shared(now, route, request_class))
 
+    def list_utilizations(self) -> list[float]:
+        """Returns the share of the slots in use of each server."""
+        return [len(item.running) / item.slots for item in self._servers.values()]
+
     def _predict_spread(self, now: float) -> float | None:
         servers = []
         running = 0
