--- a/src/monsoonlug/prometheus_metrics.py
+++ b/src/monsoonlug/prometheus_metrics.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
-from prometheus_client.metrics_core import GaugeMetricFamily
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
 METRICS_PATH = "/metrics"
@@ -27,25 +27,27 @@
 )  # seconds; the latency objectives of the routes are between 0.3 and 0.8
 
 
-class _LabelledGauges(Collector):
-    """Gauges with one label, all of which are read whenever they are scraped."""
+class _LabelledSeries(Collector):
+    """Series with one label, all of which are read whenever they are scraped."""
 
     def __init__(
         self,
         *,
+        family_type: type[CounterMetricFamily | GaugeMetricFamily],
         name: str,
         help_text: str,
         label: str,
         read: Callable[[], Mapping[str, float]],
     ):
+        self._family_type = family_type
         self._name = name
         self._help_text = help_text
         self._label = label
         self._read = read
 
-    def collect(self) -> Iterator[GaugeMetricFamily]:
-        """Yields the gauges for one scrape."""
-        family = GaugeMetricFamily(self._name, self._help_text, labels=[self._label])
+    def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
+        """Yields the series for one scrape."""
+        family = self._family_type(self._name, self._help_text, labels=[self._label])
         for value, number in self._read().items():
             family.add_metric([value], number)
         yield family
@@ -119,10 +121,39 @@
         read: Callable[[], Mapping[str, float]],
     ) -> None:
         """Adds gauges by the values of one label, read whenever they are scraped."""
-        collector = _LabelledGauges(
-            name=f"monsoonlug_{name}", help_text=help_text, label=label, read=read
+        self._add_series(GaugeMetricFamily, name, help_text, label, read)
+
+    def add_counters(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Adds counters by the values of one label, read whenever they are scraped."""
+        self._add_series(CounterMetricFamily, name, help_text, label, read)
+
+    def _add_series(
+        self,
+        family_type: type[CounterMetricFamily | GaugeMetricFamily],
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._registry.register(
+            _LabelledSeries(
+                family_type=family_type,
+                name=f"monsoonlug_{name}",
+                help_text=help_text,
+                label=label,
+                read=read,
+            )
         )
-        self._registry.register(collector)
+
+    def format(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
 
     def build_app(self) -> web.Application:
         """Returns the application that serves the metrics."""
@@ -131,5 +162,4 @@
         return app
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
-        text = generate_latest(self._registry)
-        return web.Response(body=text, content_type="text/plain")
+        return web.Response(body=self.format(), content_type="text/plain")
