Name the route in the fake of the spreader's tests

Cause: the penalty of other failure domains depends on the route's responses. Change: the fake route has a name.

--- a/tests/test_load_spreading.py
+++ b/tests/test_load_spreading.py
@@ -222,7 +222,7 @@
     return finder, [gate for gate in gates if gate.pool == "desk"]
 
 
-REQUEST = SimpleNamespace(routing_key="", route=SimpleNamespace(pool="desk"))
+REQUEST = SimpleNamespace(routing_key="", route=SimpleNamespace(name="read", pool="desk"))
 
 
 def test_pools_with_few_slots_keep_their_choice():
