--- a/src/monsoonlug/caller_buffers.py
+++ b/src/monsoonlug/caller_buffers.py
@@ -1,4 +1,7 @@
-"""Accounts for the parts of large responses that callers have not read yet."""
+"""Accounts for the parts of large responses that wait for their callers to read.
+
+What a caller's socket has been given and not taken counts with its connection.
+"""
 
 from aiohttp import web
 
@@ -34,13 +37,11 @@
         Raises:
             AnswerCutOff: If memory is short and this caller holds the most.
         """
-        transport = self._request.transport
-        written = transport.get_write_buffer_size() if transport is not None else 0
-        if not self._holding.resize(queued + written):
-            self._log(queued + written)
+        if not self._holding.resize(queued):
+            self._log(queued)
             raise AnswerCutOff("memory is short, and the caller reads slowly")
-        self._buffers.held += queued + written - self._held
-        self._held = queued + written
+        self._buffers.held += queued - self._held
+        self._held = queued
 
     def close(self) -> None:
         """Gives the bytes back."""
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -39,6 +39,7 @@
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import FleetServer, GateReport
 from monsoonlug.gate import Outcome
+from monsoonlug.host_limits import DEFAULT_BUDGET_BYTES
 from monsoonlug.ids import (
     FailureDomain,
     HostId,
@@ -77,9 +78,6 @@
 MIN_OVERDUE_SERVERS = 2  # whose responses are overdue in that time
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
-# Bytes that a process holds for callers and servers, until this is a setting. An entry
-# must stay below 47 MB of resident memory.
-DEFAULT_MEMORY_BUDGET = 8 * 1_048_576
 
 logger = get_logger("gate")
 
@@ -255,7 +253,7 @@
         self._on_notice = on_notice
         self._large_responses = LargeResponses(
             clock=clock,
-            budget=budget or MemoryBudget(limit=DEFAULT_MEMORY_BUDGET),
+            budget=budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES),
             sizes=sizes or ResponseSizes(),
             on_room=self.process_queues,
         )
