Count the bodies that a gate holds for slow servers in the memory budget

The parts of a request's body that a server does not read were bounded by the window of 256 KiB of each request, but by nothing for all of them. They count in the budget now; the worst holder is dropped, as not run if it still waits at the gate, and with the outcome unknown if it was sent.

A unit test of caller_buffers as well.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -28,6 +28,7 @@
     MonsoonlugError,
     NotGate,
     OutcomeUnknown,
+    Overloaded,
     ProcessGone,
     Refusal,
     ServerCrashed,
@@ -57,7 +58,7 @@
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
 from monsoonlug.response_relays import LargeResponses
-from monsoonlug.response_room import RoomRequest, find_latest
+from monsoonlug.response_room import ROOM_RETRY_AFTER, RoomRequest, find_latest
 from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.serverqueue import (
     RECONNECT_DELAY,
@@ -251,9 +252,10 @@
         sizes: ResponseSizes | None = None,
     ):
         self._on_notice = on_notice
+        self._budget = budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES)
         self._large_responses = LargeResponses(
             clock=clock,
-            budget=budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES),
+            budget=self._budget,
             sizes=sizes or ResponseSizes(),
             on_room=self.process_queues,
         )
@@ -267,7 +269,11 @@
         self._cold_until: dict[ServerId, float] = {}
         self._request_limits = RequestLimits()
         self._closing_times = closing_times
-        self._jobs = JobTable(open_job=self._open_job, cancel_job=self._cancel_job)
+        self._jobs = JobTable(
+            open_job=self._open_job,
+            cancel_job=self._cancel_job,
+            drop_job=self._drop_job,
+        )
         self._running: dict[RequestId, _Attempt] = {}
         self._server_states: dict[ServerId, tuple[float, bool]] = {}
         self._reachability = ReachabilityMonitor(
@@ -492,6 +498,8 @@
         now = self._clock()
         job = Job(head=head, peer=peer, deadline=now + head.remaining)
         self._jobs.add(job)
+        if head.has_body:
+            job.holding = self._budget.open(evict=partial(self._drop_job, job))
         if now >= job.deadline:
             job.fail(DeadlineExceeded())
             return
@@ -592,13 +600,33 @@
     def _cancel_job(self, job: Job) -> None:
         if job.ended:
             return
-        request_id = RequestId(job.head.request)
         job.close()
-        if self._large_responses.room.cancel(request_id):
+        if not self._remove_waiting(job):
+            self._cancel_running(job)
+
+    def _drop_job(self, job: Job) -> None:
+        """Ends a request for whose body there is no memory."""
+        if job.ended:
             return
-        queue = self._queues.get(job.head.server)
-        if queue is not None and queue.cancel(request_id):
+        logger.bind(request=job.head.request).warning(
+            "Dropped a request whose body the server does not read, as memory is short."
+        )
+        if self._remove_waiting(job):
+            job.fail(Overloaded(retry_after=ROOM_RETRY_AFTER))
             return
+        job.fail(OutcomeUnknown("memory is short, and the server does not read"))
+        self._cancel_running(job)
+
+    def _remove_waiting(self, job: Job) -> bool:
+        """Removes a request that was not sent; returns whether it waited."""
+        request_id = RequestId(job.head.request)
+        if self._large_responses.room.cancel(request_id):
+            return True
+        queue = self._queues.get(job.head.server)
+        return queue is not None and queue.cancel(request_id)
+
+    def _cancel_running(self, job: Job) -> None:
+        request_id = RequestId(job.head.request)
         running = self._running.get(request_id)
         if running is None:
             return
--- a/src/monsoonlug/jobs.py
+++ b/src/monsoonlug/jobs.py
@@ -9,6 +9,7 @@
 from monsoonlug.exceptions import DamagedFrame, MonsoonlugError, StreamClosed
 from monsoonlug.exchanges import MAX_CHUNK_BYTES, WINDOW_BYTES, CreditWindow, Peer
 from monsoonlug.ids import SLICE_COUNT, Epoch, RequestId, Slice
+from monsoonlug.memory_budget import Holding
 from monsoonlug.messages import (
     Cancel,
     Credit,
@@ -41,6 +42,7 @@
 
     Attributes:
         expected: The memory that its response needs, if it is large.
+        holding: The memory of the parts of its body that the server has not read.
     """
 
     def __init__(self, *, head: RequestHead, peer: Peer, deadline: float):
@@ -50,6 +52,7 @@
         self.ended = False
         self.has_response = False
         self.expected: ExpectedResponse | None = None
+        self.holding: Holding | None = None
         self._body_parts: asyncio.Queue[_BodyPart | None] = asyncio.Queue()
         self._unread_bytes = 0
         self._sent_bytes = 0
@@ -62,16 +65,22 @@
             return self.head.slice
         return build_override_unit(self.head.key_hash)
 
-    def receive_body(self, message: RequestBody) -> None:
+    def receive_body(self, message: RequestBody) -> bool:
         """Queues a part of the request's body.
 
+        Returns:
+            Whether there was memory for it.
+
         Raises:
             DamagedFrame: If the sender exceeds the flow-control window.
         """
         self._unread_bytes += len(message.data)
         if self._unread_bytes > WINDOW_BYTES:
             raise DamagedFrame("request body exceeds its flow-control window")
+        if self.holding is not None and not self.holding.resize(self._unread_bytes):
+            return False
         self._body_parts.put_nowait(_BodyPart(data=message.data, last=message.last))
+        return True
 
     def add_credit(self, size: int) -> None:
         """Adds flow-control credit, in bytes, for the response body."""
@@ -92,6 +101,8 @@
             if part is None:
                 raise StreamClosed()
             self._unread_bytes -= len(part.data)
+            if self.holding is not None:
+                self.holding.resize(self._unread_bytes)
             if part.data:
                 yield part.data
             if part.last:
@@ -239,6 +250,8 @@
         self._credit.close()
         if self.expected is not None:
             self.expected.close()
+        if self.holding is not None:
+            self.holding.close()
 
 
 class ResponseReader(ABC):
@@ -288,6 +301,7 @@
     Args:
         open_job: Called with the peer and the head of each new request.
         cancel_job: Called when the caller of a request has disconnected.
+        drop_job: Called when there is no memory for the body of a request.
     """
 
     def __init__(
@@ -295,9 +309,11 @@
         *,
         open_job: Callable[[Peer, RequestHead], None],
         cancel_job: Callable[[Job], None],
+        drop_job: Callable[[Job], None] | None = None,
     ):
         self._open_job = open_job
         self._cancel_job = cancel_job
+        self._drop_job = drop_job or cancel_job
         self._jobs: dict[Peer, dict[int, Job]] = {}
         self.unknown_frames = 0
 
@@ -323,7 +339,8 @@
             return
         match message:
             case RequestBody():
-                job.receive_body(message)
+                if not job.receive_body(message):
+                    self._drop_job(job)
             case Credit():
                 job.add_credit(message.size)
             case Cancel():
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -8,14 +8,21 @@
 import pytest
 
 from monsoonlug.backend import BackendProtocol, BackendResponse
-from monsoonlug.exceptions import OutcomeUnknown
+from monsoonlug.caller_buffers import CallerBuffers
+from monsoonlug.exceptions import AnswerCutOff, OutcomeUnknown
 from monsoonlug.exchanges import Peer
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_targets import REMOTE_DOMAIN_PENALTY, FleetTargetFinder
 from monsoonlug.gatehost import ClosingTimes, GateHost, list_gates
 from monsoonlug.items import ItemKind
 from monsoonlug.memory_budget import MemoryBudget
-from monsoonlug.messages import Cancel, Credit, RequestFailed, ResponseBody
+from monsoonlug.messages import (
+    Cancel,
+    Credit,
+    RequestBody,
+    RequestFailed,
+    ResponseBody,
+)
 from monsoonlug.response_relays import LARGE_CHUNK_BYTES, LARGE_WINDOW_BYTES
 from monsoonlug.response_room import (
     MAX_WAITING,
@@ -187,6 +194,41 @@
     assert len(room.admit()) == 1
 
 
+# Buffers of callers.
+
+
+class FakeRequest:
+    """A caller's request that records whether its connection was aborted."""
+
+    version = (1, 1)
+
+    def __init__(self):
+        self.is_aborted = False
+        self.transport = self
+
+    def abort(self):
+        self.is_aborted = True
+
+
+def test_caller_that_holds_the_most_is_disconnected():
+    """Guards against slow callers that take the memory of all others."""
+    budget = MemoryBudget(limit=10 * PART)
+    buffers = CallerBuffers(budget=budget, sizes=build_sizes())
+    assert buffers.open("small", FakeRequest()) is None
+    requests = [FakeRequest() for _ in range(3)]
+    opened = [buffers.open(ROUTE, request) for request in requests]
+    opened[0].hold(5 * PART)
+    opened[1].hold(4 * PART)
+    opened[2].hold(3 * PART)
+    assert [request.is_aborted for request in requests] == [True, False, False]
+    with pytest.raises(AnswerCutOff):
+        opened[1].hold(8 * PART)
+    assert buffers.evicted == 2
+    for buffer in opened:
+        buffer.close()
+    assert buffers.held == budget.used == 0
+
+
 # Relays at a gate.
 
 
@@ -228,6 +270,7 @@
         self.most_running = 0
         self.size = SIZE
         self.broken_at = None
+        self.is_hanging = False
 
     async def send(self, request, body=None):
         response = FakeResponse(self, request.request, self.size)
@@ -236,6 +279,11 @@
         self.responses.append(response)
         self.most_running = max(self.most_running, len(self.running))
         await asyncio.sleep(0)
+        while self.is_hanging:
+            if response.is_cancelled:
+                del self.running[request.request]
+                raise OutcomeUnknown("cancelled")
+            await asyncio.sleep(0)
         return response
 
     def cancel(self, request):
@@ -304,10 +352,11 @@
         self.host.add_peer(self.peer)
         self.most_used = 0
 
-    async def send(self, *streams):
+    async def send(self, *streams, **fields):
         for stream in streams:
             head = dataclasses.replace(
                 HEAD,
+                **fields,
                 stream=stream,
                 request=f"r{stream}.1",
                 server=self.name,
@@ -457,3 +506,31 @@
     assert len(gate.peer.ended) == 10
     assert gate.most_used == 0
     assert gate.host.large_responses.room.needed == 0
+
+
+async def test_bodies_that_servers_do_not_read_count_in_the_budget():
+    """Guards against memory without a bound for servers that read slowly.
+
+    The worst one is dropped. One that was not sent is reported as not run.
+    """
+    gate = Gate(limit=4 * PART, mean=20_000)
+    gate.backend.is_hanging = True
+    streams = range(1, SLOTS + 3)
+    await gate.send(*streams, has_body=True)
+    assert len(gate.backend.responses) == SLOTS
+    for stream in streams:
+        # Among holders of one size, the oldest one is dropped first.
+        size = PART - 1_000 + 100 * (stream > SLOTS)
+        part = RequestBody(stream=stream, data=b"x" * size, last=False)
+        gate.host.receive(gate.peer, part)
+        assert gate.budget.used <= 4 * PART
+    await gate.settle()
+    assert {1, SLOTS + 1} <= set(gate.peer.failed)
+    rans = {stream: failure.ran for stream, failure in gate.peer.failed.items()}
+    for stream, ran in rans.items():
+        expected = "outcome unknown" if stream <= SLOTS else "not run"
+        assert ran == expected, rans
+    for stream in streams:
+        gate.host.receive(gate.peer, Cancel(stream=stream))
+    await gate.settle()
+    assert gate.budget.used == 0
