--- a/tests/test_open_configurations.py
+++ b/tests/test_open_configurations.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.platform_fleet import WORKSPACE_KEY, PlatformFleet
+from monsoonlug.platform.settings import READINESS_PATH
+from tests.platform_fleet import READINESS_PORT, WORKSPACE_KEY, PlatformFleet
 
 CHANGE_TIMEOUT = 2.0  # seconds after which all entries act on a change
 EXPIRY_TIME = 6.0  # seconds after which a view is too old for withdrawn keys
@@ -77,3 +78,7 @@
             await asyncio.to_thread(control.stop)
         await asyncio.sleep(EXPIRY_TIME)
         assert await collect_statuses(fleet, "alone-none", NO_KEY) == [200, 200]
+        for entry in fleet.entries:
+            url = f"http://{entry.ip}:{READINESS_PORT}{READINESS_PATH}"
+            async with fleet.session.get(url) as response:
+                assert response.status == 200
