--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -31,12 +31,7 @@
     check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import (
-    ClosingTimes,
-    GateHost,
-    LiveHost,
-    list_gates,
-)
+from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
 from monsoonlug.host_limits import HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.ids import FailureDomain, HostId, ServerId
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from monsoonlug.gatehost import DEFAULT_MEMORY_BUDGET
 from tests.platform_fleet import (
     DOWNLOAD_PREFIX,
     FRONT_PORT,
@@ -23,7 +22,8 @@
 STALLED_SIZE = 2_000_000
 CALLERS = 40
 # Bytes by which an entry may grow: its budget, and half as much for the allocator.
-MAX_GROWTH = 1.5 * DEFAULT_MEMORY_BUDGET
+BUDGET_MEGABYTES = 8
+MAX_GROWTH = 1.5 * BUDGET_MEGABYTES * 1_048_576
 STALL_TIME = 3.0  # seconds; servers cut off after one second
 # Bytes. Without these limits of a caller's socket, the kernel takes more than a
 # megabyte of each response on loopback addresses, where segments have 64 KiB.
@@ -107,7 +107,10 @@
     The callers stall for longer than servers wait. Each gets a whole response then, or
     was told that its request was not run.
     """
-    async with PlatformFleet(tmp_path, servers=("east",) * 2) as fleet:
+    fleet = PlatformFleet(tmp_path, servers=("east",) * 2)
+    for entry in fleet.entries:
+        entry.settings["clientLimits"] = {"memoryMb": BUDGET_MEGABYTES}
+    async with fleet:
         for server in fleet.servers:
             server.body_size = STALLED_SIZE
         await warm_up(fleet)
