--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -14,6 +14,14 @@
 
 import cyclopts
 
+from bench.even_load_gates import (
+    DISTURBED_FACTOR,
+    MEAN_WORK,
+    ROUTE,
+    FastestFirstQueue,
+    ModelGate,
+    ModelServer,
+)
 from bench.even_load_strategies import (
     CountedSends,
     EvenSpread,
@@ -28,7 +36,6 @@
 from bench.event_queue import EventQueue
 from bench.server_model import ServerModel
 from monsoonlug.fairness import QueuedRequest
-from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import SERVERS_PER_GATE, GateId
 from monsoonlug.ids import (
     FailureDomain,
@@ -38,12 +45,10 @@
     ServerId,
     WorkspaceId,
 )
-from monsoonlug.serverqueue import ServerQueue, ServiceTimeModel
+from monsoonlug.serverqueue import ServerQueue
 
 DOMAINS = 4
-MEAN_WORK = 0.300  # seconds on a server of average speed
 MIN_SPEED, MAX_SPEED = 0.5, 1.7  # of the mean
-DISTURBED_FACTOR = 3.0  # of service times
 DISTURBED_TIMES = (0.3, 1.6)  # seconds
 DISTURBED_SHARE = 0.2  # of the time
 LOCAL_DELAY = 0.001  # seconds to a gate of the same failure domain and back
@@ -65,7 +70,6 @@
 SMALL_POOLS = (12, 24, 36)  # servers
 SMALL_POOL_SLOTS = 4
 WINDOW = 5.0  # seconds of the shorter measure of evenness
-ROUTE = "r"
 
 
 class Fault(Enum):
@@ -139,122 +143,6 @@
         return 1000 * self.latencies[math.ceil(share * len(self.latencies)) - 1]
 
 
-@dataclass(slots=True, kw_only=True)
-class _Server:
-    name: ServerId
-    slots: int
-    speed: float
-    model: ServerModel
-    sent_at: list[float] = field(default_factory=list)
-    # Times and factors from which on the machine's speed is divided by the factor.
-    changes: list[tuple[float, float]] = field(default_factory=lambda: [(0.0, 1.0)])
-
-    def find_capacity(self, start: float, end: float) -> float:
-        """Returns the work that the server could run in a time, in requests."""
-        total = 0.0
-        for position, (at, factor) in enumerate(self.changes):
-            until = end
-            if position + 1 < len(self.changes):
-                until = min(end, self.changes[position + 1][0])
-            total += max(0.0, until - max(start, at)) / factor
-        return total * self.slots * self.speed / MEAN_WORK
-
-
-class _FastestFirstQueue(ServerQueue):
-    """Fills the fastest server first, as gates did before requests were spread."""
-
-    @property
-    def is_spread(self) -> bool:
-        return False
-
-
-class _Gate:
-    """A gate of the product with the models of its servers."""
-
-    def __init__(
-        self,
-        *,
-        clock: EventQueue,
-        gate: GateId,
-        servers: list[_Server],
-        queue_type: type[ServerQueue],
-    ):
-        self.gate = gate
-        self.servers: dict[ServerId, _Server] = {item.name: item for item in servers}
-        self.slots = sum(item.slots for item in servers)
-        self.is_lost = False
-        self._clock = clock
-        self._queue = queue_type(model=ServiceTimeModel())
-        for server in servers:
-            self._queue.set_server(server.name, slots=server.slots, cold_rate=0.0)
-        self._wake_at = math.inf
-        self._running = 0
-
-    @property
-    def backlog(self) -> int:
-        """Requests that run or wait at this gate."""
-        return self._running + self._queue.queued
-
-    def receive(self, request: QueuedRequest) -> None:
-        """Queues a request; `payload` is called with its end."""
-        refusal = self._queue.enqueue(self._clock.now, request, None)
-        if refusal is not None:
-            request.payload(False, self.measure())
-            return
-        self._run()
-
-    def measure(self) -> Response:
-        """Returns what a response tells about this gate."""
-        now = self._clock.now
-        wait = self._queue.predict_latency(now, ROUTE, RequestClass.NORMAL)
-        return Response(
-            measured_at=now,
-            wait=wait,
-            backlog=self.backlog,
-            measure=GateMeasure(
-                utilization=self.backlog / self.slots,
-                capacity=self._find_capacity(now),
-            ),
-        )
-
-    def _find_capacity(self, now: float) -> float:
-        """Returns requests per second; the alternatives know it exactly."""
-        capacity = 0.0
-        for server in self.servers.values():
-            factor = DISTURBED_FACTOR if now < server.model.slow_until else 1.0
-            capacity += server.slots * server.speed / factor / MEAN_WORK
-        return capacity
-
-    def _run(self) -> None:
-        now = self._clock.now
-        for request, name in self._queue.dequeue(now):
-            server = self.servers[name]
-            server.sent_at.append(now)
-            self._running += 1
-            server.model.receive("gate", partial(self._finish, request, server))
-        for request, _ in self._queue.expire(now):
-            request.payload(False, self.measure())
-        wake = self._queue.find_wake_time(now)
-        if wake is not None and (self._wake_at <= now or wake < self._wake_at):
-            self._wake_at = max(wake, now + 0.001)
-            self._clock.call_later(self._wake_at - now, self._run)
-
-    def _finish(self, request: QueuedRequest, server: _Server) -> None:
-        now = self._clock.now
-        is_slow = now < server.model.slow_until
-        response = self.measure()
-        self._running -= 1
-        self._queue.finish(
-            now,
-            request.request_id,
-            server.name,
-            Outcome.ANSWERED,
-            slowdown=server.model.slow_factor if is_slow else 1.0,
-        )
-        request.payload(True, response)
-        self._run()
-
-
 class Simulation:
     """One run.
 
@@ -271,7 +159,7 @@
         self._lost_domain: FailureDomain | None = None
         self._coordinator: dict[GateId, GateMeasure] = {}
         is_old = strategy is StrategyName.LOWEST_WAIT
-        self._gates = self._build_gates(_FastestFirstQueue if is_old else ServerQueue)
+        self._gates = self._build_gates(FastestFirstQueue if is_old else ServerQueue)
         self._capacity = sum(
             server.find_capacity(0.0, 1.0) for server in self._list_servers()
         )
@@ -297,10 +185,10 @@
         self._clock.run_until(scenario.seconds)
         return self._summarize()
 
-    def _list_servers(self) -> list[_Server]:
+    def _list_servers(self) -> list[ModelServer]:
         return [item for gate in self._gates.values() for item in gate.servers.values()]
 
-    def _build_gates(self, queue_type: type[ServerQueue]) -> dict[GateId, _Gate]:
+    def _build_gates(self, queue_type: type[ServerQueue]) -> dict[GateId, ModelGate]:
         gates = {}
         scenario = self._scenario
         for position, domain in enumerate(self._domains):
@@ -314,7 +202,7 @@
                     mean_service_time=MEAN_WORK / speed,
                     cold_rate=0.0,
                 )
-                server = _Server(
+                server = ModelServer(
                     name=ServerId(f"s{number}"),
                     slots=scenario.slots,
                     speed=speed,
@@ -326,7 +214,7 @@
                 part = servers[number::count]
                 name = f"p/{domain}/{number}"
                 gate = GateId(pool=PoolId("p"), name=name, failure_domain=domain)
-                gates[gate] = _Gate(
+                gates[gate] = ModelGate(
                     clock=self._clock, gate=gate, servers=part, queue_type=queue_type
                 )
         return gates
@@ -374,17 +262,17 @@
 
     # Disturbances.
 
-    def _schedule_disturbance(self, server: _Server) -> None:
+    def _schedule_disturbance(self, server: ModelServer) -> None:
         mean = sum(DISTURBED_TIMES) / 2
         gap = self._random.expovariate(DISTURBED_SHARE / (1 - DISTURBED_SHARE) / mean)
         self._clock.call_later(gap, partial(self._disturb, server))
 
-    def _disturb(self, server: _Server) -> None:
+    def _disturb(self, server: ModelServer) -> None:
         seconds = self._random.uniform(*DISTURBED_TIMES)
         self._slow_down(server, seconds)
         self._clock.call_later(seconds, partial(self._schedule_disturbance, server))
 
-    def _slow_down(self, server: _Server, seconds: float) -> None:
+    def _slow_down(self, server: ModelServer, seconds: float) -> None:
         now = self._clock.now
         until = now + seconds
         if until <= server.model.slow_until:
