Send requests with large responses from the caller's entry

Cause: all responses of a gate pass the link of its host. Three servers with responses of 90 KB send 37 Mbit/s, and the hosts have links of 2 to 6 Mbit/s; small responses wait behind them. Change: an entry that has learned that a route's responses are large sends its requests itself, unless a server of the gate is cold or this host cannot reach it.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -181,6 +181,7 @@
             closing_times=self._closing_times,
             get_view_age=self._subscription.get_view_age,
             sizes=self._response_sizes,
+            is_cold=self._gate_host.is_cold,
         )
         delivery_context = DeliveryContext(
             finder=self._finder,
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -86,6 +86,7 @@
         closing_times: Closing times of servers out of service; updated by their owner.
         get_view_age: Returns the seconds since the view was known to be current.
         sizes: Response sizes of the routes.
+        is_cold: Whether a server is in its cold start, as far as this host knows.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         closing_times: ClosingTimes,
         get_view_age: Callable[[], float] = lambda: 0.0,
         sizes: ResponseSizes | None = None,
+        is_cold: Callable[[ServerId], bool] = lambda server: False,
     ):
         super().__init__(clock=clock, random=random)
         self.wait_timeout = OWNER_TIMEOUT
@@ -110,6 +112,7 @@
         self._fleet = FleetView()
         self._closing_times = closing_times
         self._sizes = sizes or ResponseSizes()
+        self._is_cold = is_cold
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
         self._ranked_hosts: dict[str, list[LiveHost]] = {}
@@ -265,7 +268,7 @@
             return None
         gate = build_gate_id(record)
         return Target(
-            host=self._choose_host(gate),
+            host=self._choose_sender(gate, admitted.route.name),
             server=ServerId(gate.name),
             gate_epoch=Epoch(0),
             revision=self._fleet.revision,
@@ -296,7 +299,7 @@
         if gate is None:
             return None
         return Target(
-            host=self._choose_host(gate),
+            host=self._choose_sender(gate, admitted.route.name),
             server=ServerId(gate.name),
             gate_epoch=Epoch(0),
             revision=self._fleet.revision,
@@ -344,6 +347,28 @@
                 return True
         return False
 
+    def _choose_sender(self, gate: GateId, route: str) -> HostId:
+        """Returns the host that sends a request to a server of a gate.
+
+        This host sends requests with large responses itself. All responses of a gate
+        pass the link of its host, which three servers with such responses overload.
+        Cold servers bear only what one host paces.
+        """
+        if not self._sizes.is_large(route) or not self._can_send(gate):
+            return self._choose_host(gate)
+        return self._host
+
+    def _can_send(self, gate: GateId) -> bool:
+        """Returns whether this host may send to the servers of a gate by itself."""
+        if gate.pool in self._isolated_pools.get(self._host, ()):
+            return False
+        if self._reports_unreachable(self._host, gate):
+            return False
+        if self._host in self._list_unreached(gate):
+            return False
+        servers = self._gate_servers.get(gate.name, ())
+        return not any(self._is_cold(server) for server in servers)
+
     def _choose_host(self, gate: GateId) -> HostId:
         host = self._find_host(gate)
         if host is not None:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -896,6 +896,10 @@
                 pool, attempt.server, attempt.job.head.route, attempt.counted
             )
 
+    def is_cold(self, server: ServerId) -> bool:
+        """Returns whether a server is in its cold start, as far as is known."""
+        return self._is_cold(self._clock(), server)
+
     def _is_cold(self, now: float, server: ServerId) -> bool:
         return now < self._cold_until.get(server, -math.inf)
 
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -9,12 +9,14 @@
 
 from monsoonlug.backend import BackendProtocol, BackendResponse
 from monsoonlug.caller_buffers import CallerBuffers
-from monsoonlug.exceptions import AnswerCutOff, OutcomeUnknown
+from monsoonlug.exceptions import AnswerCutOff, ConnectFailed, OutcomeUnknown
 from monsoonlug.exchanges import Peer
 from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import KeysAssigned, KeyTableChanged, pack_range
 from monsoonlug.fleet_targets import REMOTE_DOMAIN_PENALTY, FleetTargetFinder
-from monsoonlug.gatehost import ClosingTimes, GateHost, list_gates
+from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
 from monsoonlug.items import ItemKind
+from monsoonlug.keyranges import KeyRange
 from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.messages import (
     Cancel,
@@ -107,6 +109,81 @@
     assert 0.12 <= finder._estimate_remote_penalty(ROUTE) <= 0.36
 
 
+# Sender.
+
+
+def build_senders(*, keyed, cold=()):
+    """Returns a finder of host h, and the view, in which host g serves all gates."""
+    sizes = build_sizes()
+    sizes.record("small", 30_000)
+    view = FleetView()
+    view.apply_change(build_pool(keyed=keyed))
+    view.apply_change(build_record(name="s1"))
+    view.apply_change(build_record(name="s2", address="127.0.0.1:2"))
+    if keyed:
+        row = KeyRange(start=0, end=65_535, owner="s1", born=1, epoch=7)
+        view.apply_change(KeyTableChanged(pool="desk", present=True))
+        view.apply_change(KeysAssigned(pool="desk", rows=[pack_range(row)]))
+    finder = FleetTargetFinder(
+        clock=lambda: 0.0,
+        random=Random(1),
+        host="h",
+        failure_domain="west",
+        is_reachable=lambda host: True,
+        blocks=KeyBlocks(),
+        closing_times=ClosingTimes(),
+        sizes=sizes,
+        is_cold=lambda server: server in cold,
+    )
+    finder.update_fleet(view, list_gates(view))
+    hosts = [("h", "west"), ("g", "east")]
+    finder.update_hosts(
+        [
+            LiveHost(host=host, failure_domain=domain, stream=f"{host}:1")
+            for host, domain in hosts
+        ]
+    )
+    return finder
+
+
+def find_sender(finder, route, *, keyed):
+    admitted = SimpleNamespace(
+        routing_key="5" if keyed else "",
+        route=SimpleNamespace(name=route, pool="desk"),
+    )
+    return finder.find(admitted).host
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_entries_send_requests_with_large_responses_themselves(keyed):
+    """Guards against the link of a gate's host that all large responses pass."""
+    finder = build_senders(keyed=keyed)
+    assert find_sender(finder, ROUTE, keyed=keyed) == "h"
+    assert find_sender(finder, "small", keyed=keyed) == "g"
+    assert find_sender(finder, "unknown", keyed=keyed) == "g"
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_gates_pace_cold_servers_with_large_responses(keyed):
+    """Guards against many entries that send to a cold server at the same time."""
+    finder = build_senders(keyed=keyed, cold=("s1",))
+    assert find_sender(finder, ROUTE, keyed=keyed) == "g"
+
+
+@pytest.mark.parametrize("reported", [(["desk"], []), ([], ["s1", "s2"])])
+def test_entries_cut_off_from_servers_use_gates_for_large_responses(reported):
+    """Guards against requests that fail at an entry which cannot reach the servers."""
+    finder = build_senders(keyed=False)
+    finder.update_reachability("h", *reported)
+    assert find_sender(finder, ROUTE, keyed=False) == "g"
+    finder.update_reachability("h", [], [])
+    target = finder.find(
+        SimpleNamespace(routing_key="", route=SimpleNamespace(name=ROUTE, pool="desk"))
+    )
+    finder.record_failure(target, ConnectFailed)
+    assert find_sender(finder, ROUTE, keyed=False) == "g"
+
+
 # Room.
 
 
