--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -238,6 +238,7 @@
             crowd.close()
         usage = sampler.usage
         seen = f"{usage.memory:.0f} MB, {usage.descriptors} descriptors"
+        print(seen)  # pytest -rP shows it for tests that passed
         assert node.process.poll() is None, f"the process ended; {seen}"
         assert usage.memory <= MEMORY_MB, seen
         assert usage.descriptors <= MAX_DESCRIPTORS, seen
