--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -174,6 +174,12 @@
     def get_node(self, role):
         return self.entries[0] if role == "entry" else self.controls[0]
 
+    async def __aexit__(self, *error):
+        # A graceful stop takes seconds, and no test of this file looks at it.
+        for node in (*self.entries, *self.controls):
+            node.process.kill()
+        await super().__aexit__(*error)
+
     async def set_limits(self):
         resource = {
             "resourceType": "limits",
