Allow connections more time behind a link that large responses fill

The gate had found the server unreachable: 143 lines "is not reachable: no answer" of 8 entries in 21 s without a fault of the network. Packets of new connections wait behind 90 KB responses on links of 3.7 Mbit/s, while a check may take 0.25 s. Change: checks and connections may take longer by the time that the large responses under way may occupy the link, 0.75 s at most; nothing changes at hosts without large responses. Measured: tests of large responses, backend and reachability pass (94).

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -129,12 +129,15 @@
         resting_until: Time on its clock until which the server asked this host for no
             requests.
         is_leaving: Whether a response said that the server is shutting down.
+        link_delay: Seconds that connecting may take longer, as the link of this host is
+            busy.
     """
 
     slowdown: float = 1.0
     request_limit: float | None = None
     resting_until: float = -math.inf
     is_leaving: bool = False
+    link_delay: float = 0.0
 
     @abstractmethod
     async def send(
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -775,7 +775,8 @@
             backend = self._get_backend(server)
         except NotGate:
             return None
-        return await backend.try_connect(timeout)
+        delay = self._large_responses.estimate_link_delay()
+        return await backend.try_connect(timeout + delay)
 
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
@@ -913,6 +914,7 @@
 
         is_pooled = head.slice == POOLED
         backend = self._get_backend(attempt.server)
+        backend.link_delay = self._large_responses.estimate_link_delay()
         await job.run(
             backend,
             estimate_latency=estimate_latency if is_pooled else None,
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -162,7 +162,9 @@
         remaining = request.deadline - self._clock()
         if remaining <= 0:
             raise DeadlineExceeded()
-        connect = min(self._connect_timeout, CONNECT_TIMEOUT_SHARE * remaining)
+        connect = min(
+            self._connect_timeout + self.link_delay, CONNECT_TIMEOUT_SHARE * remaining
+        )
         headers = self.build_headers(request, remaining)
         self._connector.prepare(
             ConnectionUse(
--- a/src/monsoonlug/response_relays.py
+++ b/src/monsoonlug/response_relays.py
@@ -18,6 +18,9 @@
 LARGE_WINDOW_BYTES = 65_536
 LARGE_CHUNK_BYTES = 16_384  # small responses wait at most for such chunks
 ROOM_POLL_INTERVAL = 0.050  # seconds until the budget is asked again
+# Seconds that one byte of a large response occupies a link of 2 Mbit/s.
+LINK_SECONDS_PER_BYTE = 4e-6
+MAX_LINK_DELAY = 0.75  # seconds; checks of servers must still fail within about 1 s
 RELAY_GRACE = 1.0  # seconds after the deadline at which a held response is dropped
 
 logger = get_logger("gate")
@@ -196,6 +199,14 @@
         """Returns whether the responses of a route are large."""
         return self._sizes.is_large(route)
 
+    def estimate_link_delay(self) -> float:
+        """Returns the seconds for which large responses may occupy this host's link.
+
+        The packets of a new connection wait behind them. Without this time, a server
+        is taken for unreachable because this host's own link is full.
+        """
+        return min(MAX_LINK_DELAY, LINK_SECONDS_PER_BYTE * self.room.needed)
+
     def has_taken_over(self, job: Job) -> bool:
         """Returns whether a response is passed on after its server is done."""
         relay = self._relays.get(job)
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -25,7 +25,12 @@
     RequestFailed,
     ResponseBody,
 )
-from monsoonlug.response_relays import LARGE_CHUNK_BYTES, LARGE_WINDOW_BYTES
+from monsoonlug.response_relays import (
+    LARGE_CHUNK_BYTES,
+    LARGE_WINDOW_BYTES,
+    MAX_LINK_DELAY,
+    LargeResponses,
+)
 from monsoonlug.response_room import (
     MAX_WAITING,
     MIN_ROOM_WAIT,
@@ -184,6 +189,25 @@
     assert find_sender(finder, ROUTE, keyed=False) == "g"
 
 
+def test_servers_are_not_unreachable_behind_a_busy_link():
+    """Guards against checks that fail because this host's own link is full.
+
+    At 2 Mbit/s, 90 KB occupy the link for 0.36 s, longer than a check may take.
+    """
+    budget = MemoryBudget(limit=BUDGET)
+    responses = LargeResponses(
+        clock=lambda: 0.0, budget=budget, sizes=build_sizes(), on_room=lambda: None
+    )
+    assert responses.estimate_link_delay() == 0.0
+    expected = responses.room.open(ROUTE)
+    assert 0.3 < responses.estimate_link_delay() < 0.4
+    others = [responses.room.open(ROUTE) for _ in range(20)]
+    assert responses.estimate_link_delay() == MAX_LINK_DELAY
+    for item in (expected, *others):
+        item.close()
+    assert responses.estimate_link_delay() == 0.0
+
+
 # Room.
 
 
