--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -271,7 +271,7 @@
         await call_until(fleet, "Rollouts.Start", build_order())
         removed = {
             "routes": [
-                {"name": name, "version": "00000002"} for name in ("r-1", "r-2")
+                {"name": name, "version": "00000002"} for name in ("r-1", "r-2", "r-3")
             ],
             "services": [{"name": SERVICE, "version": "00000002"}],
         }
