Find the running rollout of a pool in one place

Cause: the view's rollout was looked up and checked for running in four modules, and the version of a server was worked out beside FleetView.get_version. Change: FleetView.find_running_rollout replaces the copies, and plan_version calls get_version; no behaviour, test or bound changes.

--- a/src/monsoonlug/fleet.py
+++ b/src/monsoonlug/fleet.py
@@ -101,6 +101,13 @@
         row = self.versions.get(server.server)
         return row.version if row is not None and row.born == server.born else ""
 
+    def find_running_rollout(self, pool: PoolId) -> Rollout | None:
+        """Returns the rollout of a pool if it is running."""
+        rollout = self.rollouts.get(pool)
+        if rollout is None or rollout.state is not RolloutState.RUNNING:
+            return None
+        return rollout
+
     def is_target(self, server: FleetServer) -> bool:
         """Returns whether a server has the target version of its pool's rollout.
 
--- a/src/monsoonlug/registrar.py
+++ b/src/monsoonlug/registrar.py
@@ -49,7 +49,6 @@
 from monsoonlug.rollout_decisions import PoolServers
 from monsoonlug.rollout_keys import (
     describe_servers,
-    find_running_rollout,
     must_release,
     plan_canary_moves,
     plan_version,
@@ -832,7 +831,7 @@
         """Returns whether a server should own no keys any more."""
         if not self._view.is_in_service(record):
             return True
-        if find_running_rollout(self._view, record.pool) is not None:
+        if self._view.find_running_rollout(record.pool) is not None:
             candidates = self._get_candidates(now, record.pool, table)
             canaries = self._get_plan(record.pool).canaries
             if must_release(self._view, record, candidates, canaries):
--- a/src/monsoonlug/rollout_control.py
+++ b/src/monsoonlug/rollout_control.py
@@ -8,7 +8,6 @@
 from monsoonlug.prometheus_metrics import PrometheusMetrics
 from monsoonlug.registrar import Registrar
 from monsoonlug.rollout_decisions import Decision, RolloutDecider, RolloutLimits
-from monsoonlug.rollout_keys import find_running_rollout
 from monsoonlug.rollout_messages import (
     Rollout,
     RolloutAdvanced,
@@ -114,7 +113,7 @@
         unix_now = self._decided_at = self._read_time()
         commands = []
         for (pool, number), decider in self._deciders.items():
-            rollout = find_running_rollout(view, pool)
+            rollout = view.find_running_rollout(pool)
             if rollout is None or rollout.number != number:
                 continue
             servers = registrar.describe_pool(now, pool)
--- a/src/monsoonlug/rollout_keys.py
+++ b/src/monsoonlug/rollout_keys.py
@@ -16,7 +16,7 @@
 from monsoonlug.keyranges import NO_OWNER, KeyRange, KeyTable
 from monsoonlug.releases import Release
 from monsoonlug.rollout_decisions import PoolServers
-from monsoonlug.rollout_messages import Rollout, RolloutState, ServerVersionSet
+from monsoonlug.rollout_messages import ServerVersionSet
 
 MAX_MOVES_PER_SOURCE = 2  # ranges that one server is asked to release at a time
 MIN_MEASURED_RATE = 1.0  # requests per second of a pool, below which keys are counted
@@ -25,14 +25,6 @@
 _SPREAD = 40_503  # odd, so that multiples modulo the number of keys visit all of them
 
 
-def find_running_rollout(view: FleetView, pool: PoolId) -> Rollout | None:
-    """Returns the rollout of a pool if it is running."""
-    rollout = view.rollouts.get(pool)
-    if rollout is None or rollout.state is not RolloutState.RUNNING:
-        return None
-    return rollout
-
-
 def split_candidates(
     view: FleetView, pool: PoolId, candidates: dict[ServerId, ServerLoad]
 ) -> tuple[dict[ServerId, ServerLoad], dict[ServerId, ServerLoad]]:
@@ -41,7 +33,7 @@
     Canaries are the target servers that may own keys while servers of other versions
     own the rest. Those that already own keys come first.
     """
-    rollout = find_running_rollout(view, pool)
+    rollout = view.find_running_rollout(pool)
     if rollout is None:
         return candidates, {}
     targets, others = {}, {}
@@ -71,7 +63,7 @@
         owners: The owners of keys; see `split_candidates`.
         canaries: The canaries.
     """
-    rollout = find_running_rollout(view, record.pool)
+    rollout = view.find_running_rollout(record.pool)
     if rollout is None or not owners or record.server in canaries:
         return False
     has_target_owners = view.is_target(view.servers[next(iter(owners))])
@@ -158,7 +150,7 @@
             warm_targets += record.server in warm
     table = view.tables.get(pool)
     other_ranges = 0
-    rollout = find_running_rollout(view, pool)
+    rollout = view.find_running_rollout(pool)
     # They are needed only at the end, and a table may have thousands of ranges.
     if table is not None and rollout is not None and rollout.share >= 1:
         for key_range in table.iterate():
@@ -180,9 +172,7 @@
 
     It comes before the server's record, so that no view has a new server without it.
     """
-    row = view.versions.get(record.server)
-    known = row.version if row is not None and row.born == record.born else ""
-    if known == version:
+    if view.get_version(record) == version:
         return []
     return [ServerVersionSet(server=record.server, born=record.born, version=version)]
 
--- a/src/monsoonlug/version_outcomes.py
+++ b/src/monsoonlug/version_outcomes.py
@@ -110,10 +110,8 @@
 
 def is_rollout_target(view: FleetView, server: FleetServer) -> bool:
     """Returns whether a server has the target version of a running rollout."""
-    rollout = view.rollouts.get(server.pool)
-    if rollout is None or rollout.state is not RolloutState.RUNNING:
-        return False
-    return view.is_target(server)
+    rollout = view.find_running_rollout(server.pool)
+    return rollout is not None and view.is_target(server)
 
 
 @dataclass(slots=True)
@@ -205,11 +203,9 @@
         """
         has_new = False
         for pool, counts in list(self._pools.items()):
-            rollout = view.rollouts.get(pool)
+            rollout = view.find_running_rollout(pool)
             if rollout is None or rollout.number != counts.number:
                 del self._pools[pool]
-            elif rollout.state is not RolloutState.RUNNING:
-                del self._pools[pool]
         for pool, rollout in view.rollouts.items():
             if rollout.state is not RolloutState.RUNNING:
                 continue
--- a/src/monsoonlug/version_split.py
+++ b/src/monsoonlug/version_split.py
@@ -16,7 +16,7 @@
 from monsoonlug.gatehost import GateId
 from monsoonlug.ids import FailureDomain, PoolId
 from monsoonlug.logs import get_logger
-from monsoonlug.rollout_messages import Rollout, RolloutState
+from monsoonlug.rollout_messages import Rollout
 from monsoonlug.version_outcomes import is_rollout_target
 
 # Seconds; control may have lowered the share since a view of this age was current.
@@ -251,7 +251,4 @@
 
 def _find_running(view: FleetView, pool: PoolId) -> Rollout | None:
     """Returns the running rollout of a pool without keys, or None."""
-    rollout = view.rollouts.get(pool)
-    if rollout is None or rollout.state is not RolloutState.RUNNING:
-        return None
-    return None if pool in view.tables else rollout
+    return None if pool in view.tables else view.find_running_rollout(pool)
