Hold the body of a request once while more of it is awaited

aiohttp's read keeps two copies of what has arrived, and the parts that a connection cut from what it had read were copied again for each part.

Bodies are now read part by part and joined at their end.

The tests import hypothesis first: its plugin did so at the end of a session and ended runs of single files with a SystemError of Python 3.11's parser.

--- a/src/monsoonlug/client_connections.py
+++ b/src/monsoonlug/client_connections.py
@@ -167,13 +167,15 @@
             return
         if not data:
             self._feed(data)
-        self._backlog = self._backlog + data if self._backlog else data
-        while self._backlog and not self._is_full and not self._is_refused:
-            part = self._backlog[:MAX_PART_BYTES]
-            self._backlog = self._backlog[MAX_PART_BYTES:]
-            self._feed(part)
+        data = self._backlog + data if self._backlog else data
+        self._backlog = b""
+        offset = 0
+        while offset < len(data) and not self._is_full and not self._is_refused:
+            self._feed(data[offset : offset + MAX_PART_BYTES])
+            offset += MAX_PART_BYTES
         if self._is_refused:
             return
+        self._backlog = data[offset:]
         if self._backlog and not self._reading_paused and not self._buffer_paused:
             self._pause_reading_for_buffer()
         self._update_phase()
--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -57,6 +57,7 @@
 )
 from monsoonlug.recordclient import RecordClient
 from monsoonlug.records import StoredAnswer
+from monsoonlug.request_bodies import read_body
 from monsoonlug.response_sizes import find_length, is_counted
 from monsoonlug.targets import Target, TargetFinder
 
@@ -514,7 +515,7 @@
             return
         timeout = self._deadline - self._context.clock()
         try:
-            self._body = await asyncio.wait_for(self._request.read(), timeout)
+            self._body = await asyncio.wait_for(read_body(self._request), timeout)
         except TimeoutError:
             raise BadRequest("the body did not arrive before the deadline") from None
         except web.HTTPRequestEntityTooLarge:
--- a/src/monsoonlug/entry.py
+++ b/src/monsoonlug/entry.py
@@ -38,6 +38,7 @@
 from monsoonlug.record_manager import RecordManager
 from monsoonlug.record_messages import RecordAck, RecordBeginResult
 from monsoonlug.recordclient import RecordClient
+from monsoonlug.request_bodies import read_body
 from monsoonlug.settings import EntrySettings
 from monsoonlug.statsd_metrics import open_statsd_client
 from monsoonlug.streams import MessageStream
@@ -295,7 +296,8 @@
 
     async def _serve_announcement(self, request: web.Request) -> web.Response:
         try:
-            announcement = HttpBackend.parse_announcement(await request.read())
+            body = await read_body(request, max_size=MAX_ANNOUNCEMENT_BYTES)
+            announcement = HttpBackend.parse_announcement(body)
         except BadRequest as error:
             document = {"code": error.code, "message": str(error)}
             return web.json_response(document, status=error.status)
--- a/src/monsoonlug/platform/interface.py
+++ b/src/monsoonlug/platform/interface.py
@@ -26,6 +26,7 @@
     read_patch,
     read_server_name,
 )
+from monsoonlug.request_bodies import read_body
 from monsoonlug.settings import split_address
 
 HEARTBEAT_PATH = "/monsoonlug/Instances.Heartbeat/{server}"
@@ -117,7 +118,9 @@
         return handle_call
 
     async def _take_beat(self, request: web.Request) -> web.Response:
-        heartbeat = read_heartbeat(request.match_info["server"], await request.read())
+        heartbeat = read_heartbeat(
+            request.match_info["server"], await _read_body(request)
+        )
         answer = await self._control.handle_heartbeat(heartbeat)
         path = request.path
         body = build_heartbeat_answer(answer, f"http://{self._address}{path}")
@@ -128,7 +131,7 @@
         return web.json_response({})
 
     async def _change(self, request: web.Request) -> web.Response:
-        changes, sources = read_patch(await request.read())
+        changes, sources = read_patch(await _read_body(request))
         await self._control.change_items(changes, sources)
         return web.json_response({})
 
@@ -138,7 +141,7 @@
 
     async def _order(self, request: web.Request) -> web.Response:
         self._control.rollouts.check_configured()
-        order = read_order(await request.read())
+        order = read_order(await _read_body(request))
         await self._control.rollouts.start(*order)
         return web.json_response({})
 
@@ -172,6 +175,10 @@
         return web.Response(status=307, headers={"Location": location})
 
 
+async def _read_body(request: web.Request) -> bytes:
+    return await read_body(request, max_size=MAX_BODY_BYTES)
+
+
 def _build_error(error: MonsoonlugError) -> web.Response:
     document = {"code": error.code, "message": str(error)}
     return web.json_response(document, status=error.status)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 from pathlib import Path
 
+# Its plugin imports it at the end of the session otherwise, in frames so deep that the
+# parser of Python 3.11 ends the run with a SystemError.
+import hypothesis  # noqa: F401
 import pytest
 
 from tests.process_fleet import run_fleet
