Check a configuration before it is sent

Control answers an invalid configuration with its first error only, and accepts items that can never match and limits that contradict each other; operators wished for a check beforehand.

`python -m monsoonlug.platform check` lists all errors and warnings and, given the configuration in force, what would change. ItemTable lists all of its problems now, of which `check` still raises the first.

--- a/src/monsoonlug/items.py
+++ b/src/monsoonlug/items.py
@@ -218,8 +218,12 @@
                 items.pop(key, None)
                 continue
             items[key] = change
-        _check_routes(items)
-        _check_keys(items)
+        for problem in _list_problems(items):
+            raise BadRequest(problem)
+
+    def list_problems(self) -> list[str]:
+        """Returns why `check` would refuse the table as it is."""
+        return list(_list_problems(self._items))
 
     def _get_version(self, key: tuple[ItemKind, str]) -> int:
         item = self._items.get(key)
@@ -234,23 +238,28 @@
     return get_kind(change), change.name
 
 
-def _check_routes(items: dict[tuple[ItemKind, str], Item]) -> None:
+def _list_problems(items: dict[tuple[ItemKind, str], Item]) -> Iterator[str]:
+    yield from _list_route_problems(items)
+    yield from _list_key_problems(items)
+
+
+def _list_route_problems(items: dict[tuple[ItemKind, str], Item]) -> Iterator[str]:
     names: dict[tuple[str, str], str] = {}
     for (kind, name), item in items.items():
         if kind is not ItemKind.ROUTE:
             continue
         other = names.setdefault((item.host, item.prefix), name)
         if other != name:
-            raise BadRequest(
+            yield (
                 f"routes {other} and {name} have the same host {item.host!r} "
                 f"and path prefix {item.prefix!r}"
             )
         for pool, _ in item.split:
             if (ItemKind.POOL, pool) not in items:
-                raise BadRequest(f"route {name} names the unknown pool {pool}")
+                yield f"route {name} names the unknown pool {pool}"
 
 
-def _check_keys(items: dict[tuple[ItemKind, str], Item]) -> None:
+def _list_key_problems(items: dict[tuple[ItemKind, str], Item]) -> Iterator[str]:
     owners: dict[str, str] = {}
     for (kind, name), item in items.items():
         if kind is not ItemKind.WORKSPACE:
@@ -258,4 +267,4 @@
         for digest in item.key_digests:
             other = owners.setdefault(digest, name)
             if other != name:
-                raise BadRequest(f"workspaces {other} and {name} share a key")
+                yield f"workspaces {other} and {name} share a key"
--- a/src/monsoonlug/platform/__main__.py
+++ b/src/monsoonlug/platform/__main__.py
@@ -6,8 +6,9 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Annotated
 
-from cyclopts import App
+from cyclopts import App, Parameter
 
 from monsoonlug.daemons import DaemonWorker
 from monsoonlug.exceptions import InvalidFile
@@ -21,6 +22,8 @@
 EXIT_INVALID_SETTINGS = 2
 SETTINGS_POLL_INTERVAL = 1.0  # seconds; the file may change without a SIGHUP
 
+AsJson = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON.")]
+
 app = App(name="monsoonlug.platform", help="Daemons on the platform.")
 logger = get_logger("platform")
 
@@ -109,6 +112,26 @@
     run(PlatformEntry)
 
 
+@app.command
+def check(file: Path, /, *, in_force: Path | None = None, json_: AsJson = False):
+    """Checks a configuration before it is sent, and says what it would change.
+
+    Example: python -m monsoonlug.platform check patch.json --in-force config.json
+
+    Exit codes: 0 nothing was found, 1 warnings, 2 errors.
+
+    Parameters
+    ----------
+    file
+        Body of the call that changes the configuration.
+    in_force
+        Configuration in force, as the call that reads it answers.
+    """
+    from monsoonlug.platform.check import check_file
+
+    sys.exit(check_file(file, in_force, as_json=json_))
+
+
 def run(service: type[PlatformControl] | type[PlatformEntry]) -> None:
     """Runs a daemon with the settings file that the environment names."""
     configure_rate_limited_logs(log_level="INFO")
--- a/src/monsoonlug/platform/documents.py
+++ b/src/monsoonlug/platform/documents.py
@@ -148,19 +148,41 @@
     document = read_object(body)
     changes: list[Item | ItemRemoved] = []
     sources = []
-    upsert = document.get("upsert", {})
-    if not isinstance(upsert, dict):
-        raise BadRequest("the field upsert is not an object")
-    entries = upsert.get("resources", [])
-    if not isinstance(entries, list) or set(upsert) - {"resources"}:
-        raise BadRequest("the field upsert may hold only an array named resources")
-    for entry in entries:
+    for entry in _read_entries(document.get("upsert", {})):
         changes.append(_read_item(entry))
         sources.append(json.dumps(entry, separators=(",", ":")))
     removed = _read_removals(document.get("remove", {}))
     return [*changes, *removed], [*sources, *([""] * len(removed))]
 
 
+def collect_patch(body: bytes) -> tuple[list[Item | ItemRemoved], list[str]]:
+    """Parses a configuration patch, or a list of all items, as far as it is valid.
+
+    Returns:
+        The valid changes, and why each of the others is invalid.
+    """
+    changes: list[Item | ItemRemoved] = []
+    problems = []
+    try:
+        document = read_object(body)
+        upsert = document if "resources" in document else document.get("upsert", {})
+        entries = _read_entries(upsert)
+        changes.extend(_read_removals(document.get("remove", {})))
+    except BadRequest as error:
+        return [], [str(error)]
+    for position, entry in enumerate(entries):
+        try:
+            changes.append(_read_item(entry))
+        except BadRequest as error:
+            problems.append(f"resources[{position}]: {error}")
+    return changes, problems
+
+
+def get_kind_name(kind: ItemKind) -> str:
+    """Returns the name of a kind of items in the platform's documents."""
+    return next(name for name, other in _ITEM_KINDS.items() if other is kind)
+
+
 def build_items(sources: list[tuple[ItemKind, str, str]]) -> bytes:
     """Builds the response body that lists all configured items."""
     entries = ",".join(text for _, _, text in sources)
@@ -239,6 +261,15 @@
         raise BadRequest("the field address does not end with a port from 1 to 65535")
 
 
+def _read_entries(upsert: object) -> list:
+    if not isinstance(upsert, dict):
+        raise BadRequest("the field upsert is not an object")
+    entries = upsert.get("resources", [])
+    if not isinstance(entries, list) or set(upsert) - {"resources"}:
+        raise BadRequest("the field upsert may hold only an array named resources")
+    return entries
+
+
 def _read_item(entry: object) -> Item:
     if not isinstance(entry, dict):
         raise BadRequest("an element of resources is not an object")
