Share a host's link between large and small responses

Cause: responses of up to 540 KB occupy a link of 3.7 Mbit/s for 1.2 s, and pings, messages of gates and small responses wait behind them. A stalled response or a slow caller does not keep its place. Other hosts are served as before.

--- a/src/monsoonlug/caller_buffers.py
+++ b/src/monsoonlug/caller_buffers.py
@@ -3,9 +3,14 @@
 What a caller's socket has been given and not taken counts with its connection.
 """
 
+import asyncio
+import math
+from collections.abc import Callable
+
 from aiohttp import web
 
 from monsoonlug.exceptions import AnswerCutOff
+from monsoonlug.link_share import LinkShare
 from monsoonlug.logs import get_logger
 from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.refusals import abort_connection
@@ -20,9 +25,20 @@
     Args:
         buffers: The buffers of all callers.
         request: The caller's request.
+        size: Expected bytes of the response.
+        objective: Time until which it meets its latency objective.
     """
 
-    def __init__(self, *, buffers: "CallerBuffers", request: web.BaseRequest):
+    def __init__(
+        self,
+        *,
+        buffers: "CallerBuffers",
+        request: web.BaseRequest,
+        size: float = 0.0,
+        objective: float = math.inf,
+    ):
+        self._left = size
+        self._objective = objective
         self._buffers = buffers
         self._request = request
         self._held = 0
@@ -43,6 +59,30 @@
         self._buffers.held += queued - self._held
         self._held = queued
 
+    async def write(self, response: web.StreamResponse, data: bytes) -> None:
+        """Writes a part to the caller, at the pace that the host's link permits.
+
+        Raises:
+            ConnectionError: If the caller has disconnected.
+        """
+        link = self._buffers.link
+        if link is None:
+            await response.write(data)
+            return
+        for start in range(0, len(data), link.piece_bytes):
+            piece = data[start : start + link.piece_bytes]
+            now = self._buffers.read_clock()
+            write_at = link.reserve_write(
+                now,
+                len(piece),
+                left=max(self._left, len(piece)),
+                objective=self._objective,
+            )
+            self._left -= len(piece)
+            if write_at > now:
+                await asyncio.sleep(write_at - now)
+            await response.write(piece)
+
     def close(self) -> None:
         """Gives the bytes back."""
         self._holding.close()
@@ -68,20 +108,50 @@
     Args:
         budget: Memory budget of the process.
         sizes: Response sizes of the routes.
+        link: Shares the host's link, or None if it is not limited.
+        read_clock: Returns the time; needed only with a link.
 
     Attributes:
         held: Bytes that are held.
         evicted: Number of callers whose connections were closed for lack of memory.
     """
 
-    def __init__(self, *, budget: MemoryBudget, sizes: ResponseSizes):
+    def __init__(
+        self,
+        *,
+        budget: MemoryBudget,
+        sizes: ResponseSizes,
+        link: LinkShare | None = None,
+        read_clock: Callable[[], float] = lambda: 0.0,
+    ):
+        self.link = link
+        self.read_clock = read_clock
         self.budget = budget
         self.sizes = sizes
         self.held = 0
         self.evicted = 0
 
-    def open(self, route: str, request: web.BaseRequest) -> CallerBuffer | None:
-        """Returns the buffer of a response, or None if its route's are not large."""
+    def open(
+        self,
+        route: str,
+        request: web.BaseRequest,
+        *,
+        length: int | None = None,
+        objective: float = math.inf,
+    ) -> CallerBuffer | None:
+        """Returns the buffer of a response, or None if its route's are not large.
+
+        Args:
+            route: Name of the request's route.
+            request: The caller's request.
+            length: Bytes of the response, or None if it does not declare them.
+            objective: Time until which the response meets its latency objective.
+        """
         if not self.sizes.is_large(route):
             return None
-        return CallerBuffer(buffers=self, request=request)
+        return CallerBuffer(
+            buffers=self,
+            request=request,
+            size=self.sizes.get_mean(route) if length is None else length,
+            objective=objective,
+        )
--- a/src/monsoonlug/delivery.py
+++ b/src/monsoonlug/delivery.py
@@ -463,7 +463,7 @@
         remaining = self._deadline - self._context.clock()
         try:
             async with asyncio.timeout(max(0.0, remaining) + LATE_WRITE_TIME):
-                await self._response.write(data)
+                await self._caller_buffer.write(self._response, data)
         except TimeoutError:
             raise AnswerCutOff("the caller did not read the response") from None
 
@@ -471,7 +471,12 @@
         buffers = self._context.caller_buffers
         if buffers is not None:
             route = self._admitted.route.name
-            self._caller_buffer = buffers.open(route, self._request)
+            self._caller_buffer = buffers.open(
+                route,
+                self._request,
+                length=self._find_length(self._response_head),
+                objective=self._admitted.objective_at,
+            )
 
     def _record_size(self) -> None:
         buffers = self._context.caller_buffers
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -37,6 +37,7 @@
 from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
 from monsoonlug.items import ItemKind, PoolItem
+from monsoonlug.link_share import build_link_share
 from monsoonlug.links import Listener
 from monsoonlug.logs import get_logger
 from monsoonlug.prometheus_metrics import PrometheusMetrics
@@ -149,7 +150,13 @@
         self._crash_tracker = CrashTracker()
         budget = self._ports.budget
         self._response_sizes = ResponseSizes()
-        self._caller_buffers = CallerBuffers(budget=budget, sizes=self._response_sizes)
+        self._link = build_link_share(settings.host_limits.link_mbps)
+        self._caller_buffers = CallerBuffers(
+            budget=budget,
+            sizes=self._response_sizes,
+            link=self._link,
+            read_clock=read_clock,
+        )
         self._closing_times = ClosingTimes()
         self._outcomes = VersionOutcomes(
             host=settings.host,
@@ -165,6 +172,7 @@
             outcomes=self._outcomes,
             budget=budget,
             sizes=self._response_sizes,
+            link=self._link,
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -392,6 +400,17 @@
             "Requests with large responses that were refused for lack of memory.",
             lambda: room.refused,
         )
+        if self._link is not None:
+            add_gauge(
+                "link_transfers",
+                "Large responses that are awaited from servers or read.",
+                lambda: self._link.open_transfers,
+            )
+            add_gauge(
+                "refused_for_link",
+                "Requests with large responses that were refused, as the link is busy.",
+                lambda: room.refused_for_link,
+            )
         add_gauge(
             "evicted_callers",
             "Callers of large responses that were disconnected for lack of memory.",
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -52,6 +52,7 @@
 )
 from monsoonlug.items import ItemKind, PoolItem
 from monsoonlug.jobs import POOLED, Job, JobTable
+from monsoonlug.link_share import LinkShare
 from monsoonlug.logs import get_logger
 from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.messages import RequestHead
@@ -274,6 +275,7 @@
         outcomes: Counts the requests of pools with a running rollout.
         budget: Memory budget of the process.
         sizes: Response sizes of the routes.
+        link: Shares the host's link, or None if it is not limited.
     """
 
     def __init__(
@@ -287,6 +289,7 @@
         outcomes: VersionOutcomes | None = None,
         budget: MemoryBudget | None = None,
         sizes: ResponseSizes | None = None,
+        link: LinkShare | None = None,
     ):
         self._on_notice = on_notice
         self._outcomes = VersionOutcomes() if outcomes is None else outcomes
@@ -296,6 +299,7 @@
             budget=self._budget,
             sizes=sizes or ResponseSizes(),
             on_room=self.process_queues,
+            link=link,
         )
         self._clock = clock
         self._open_backend = open_backend
@@ -617,6 +621,8 @@
                 now, objective=request.objective, deadline=request.deadline
             ),
             payload=request,
+            objective=request.objective,
+            deadline=request.deadline,
         )
         return self._large_responses.room.enqueue(waiting)
 
--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -21,6 +21,8 @@
 DEFAULT_HEARTBEAT_INTERVAL = "1s"
 MAX_MEGABYTES = 1_048_576
 MAX_CONNECTIONS = 1_048_576
+MIN_MBPS = 0.1  # Mbit/s; a response of 90 KB takes 7 s
+MAX_MBPS = 1_000_000  # Mbit/s
 DISABLED_BOUND = "86400s"  # in place of a bound that is not enforced
 
 
@@ -137,10 +139,18 @@
             client_connections=self._read_count(
                 "clientLimits", "connections", MAX_CONNECTIONS
             ),
+            link_mbps=self._read_number("limits", "linkMbps", MIN_MBPS, MAX_MBPS),
         )
 
     def _read_count(self, group: str, name: str, maximum: int) -> int | None:
         """Returns a positive number of an optional group, or None if it is absent."""
+        number = self._read_number(group, name, 1, maximum)
+        return None if number is None else int(number)
+
+    def _read_number(
+        self, group: str, name: str, minimum: float, maximum: float
+    ) -> float | None:
+        """Returns a number of an optional group, or None if it is absent."""
         fields = self._document.get(group)
         if fields is None:
             return None
@@ -150,10 +160,11 @@
         value = fields.get(name)
         if value is None:
             return None
-        if type(value) not in (int, float) or not 1 <= value <= maximum:
-            self._add_problem(f"{group}.{name}", value, f"a number from 1 to {maximum}")
+        if type(value) not in (int, float) or not minimum <= value <= maximum:
+            allowed = f"a number from {minimum} to {maximum}"
+            self._add_problem(f"{group}.{name}", value, allowed)
             return None
-        return int(value)
+        return value
 
     def _read_stream_port(self) -> int:
         # The range is the same on all machines of an installation.
--- a/src/monsoonlug/response_relays.py
+++ b/src/monsoonlug/response_relays.py
@@ -8,6 +8,7 @@
 from monsoonlug.exceptions import OutcomeUnknown, StreamClosed
 from monsoonlug.exchanges import WINDOW_BYTES
 from monsoonlug.jobs import Job, ResponseObserver, ResponseReader
+from monsoonlug.link_share import LinkShare
 from monsoonlug.logs import get_logger
 from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.response_room import ExpectedResponse, ResponseRoom
@@ -78,7 +79,7 @@
         except BaseException:
             self._writer.cancel()
             raise
-        self._expected.set_expected(0.0)
+        self._expected.record_end()
         self.is_complete = True
         self._changed.set()
 
@@ -172,6 +173,7 @@
         budget: Memory budget of the process.
         sizes: Response sizes of the routes, which it also records.
         on_room: Called when there may be room for further responses.
+        link: Shares the host's link, or None if it is not limited.
     """
 
     def __init__(
@@ -181,13 +183,16 @@
         budget: MemoryBudget,
         sizes: ResponseSizes,
         on_room: Callable[[], None],
+        link: LinkShare | None = None,
     ):
         self._clock = clock
         self._budget = budget
         self._sizes = sizes
         self._on_room = on_room
         self._relays: dict[Job, ResponseRelay] = {}
-        self.room = ResponseRoom(budget=budget, sizes=sizes)
+        self.room = ResponseRoom(
+            budget=budget, sizes=sizes, link=link, read_clock=clock
+        )
 
     @property
     def tasks(self) -> list[asyncio.Task]:
@@ -225,6 +230,7 @@
         if job.expected is None:
             # The request was sent before the route was known to have large responses.
             job.expected = self.room.open(route)
+        job.expected.record_head()
         if length is not None:
             job.expected.set_expected(length)
         relay = ResponseRelay(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -338,6 +338,7 @@
     [
         ("limits", "memoryMb"),
         ("limits", "maxFds"),
+        ("limits", "linkMbps"),
         ("clientLimits", "memoryMb"),
         ("clientLimits", "connections"),
     ],
