Choose the server of a shared request by its objective

Cause: gates of servers with 4 or more slots preferred a free slot of a disturbed, slow server to one of a fast server that is half busy, so the request missed its objective.

Change: server_choice takes the least loaded of the ready, warm servers on which 1.5 times the expected time ends before the objective; without one the fastest, or the request waits for a busy server that still meets the objective. FairQueue.peek names the next request.

--- a/src/monsoonlug/fairness.py
+++ b/src/monsoonlug/fairness.py
@@ -1,5 +1,6 @@
 """Fair queueing of requests by workspace with deficit round robin."""
 
+import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -97,6 +98,19 @@
             self._active.move_to_end(workspace)
         return request
 
+    def peek(self) -> QueuedRequest | None:
+        """Returns the request that `pop` would return, and changes nothing."""
+        if not self._count:
+            return None
+        for rounds in itertools.count(1):
+            for workspace in self._active:
+                # `pop` adds a quantum in each round until the deficit covers the cost.
+                deficit = self._deficits[workspace] + rounds * QUANTUM
+                cost = self._cost(workspace)
+                if deficit >= cost:
+                    return next(iter(self._queues[workspace].values()))
+        return None
+
     def remove(self, request: QueuedRequest) -> bool:
         """Removes a request and returns whether it was queued."""
         queue = self._queues.get(request.workspace)
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -367,6 +367,12 @@
             "gate",
             self._finder.spreader.count_sent,
         )
+        self._metrics.add_counters(
+            "server_choices",
+            "Choices of a server with many slots at gates.",
+            "result",
+            self._gate_host.server_choice.count_results,
+        )
         if self._settings.metrics_address is not None:
             await self._ports.start_metrics(self._settings.metrics_address)
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -61,6 +61,7 @@
 from monsoonlug.response_room import ROOM_RETRY_AFTER, RoomRequest, find_latest
 from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.rollout_messages import RolloutState
+from monsoonlug.server_choice import ServerChoice
 from monsoonlug.serverqueue import (
     RECONNECT_DELAY,
     ServerQueue,
@@ -303,6 +304,7 @@
         self._gates: dict[str, tuple[GateId, list[FleetServer]]] = {}
         self._queues: dict[str, ServerQueue] = {}
         self._models: dict[PoolId, ServiceTimeModel] = {}
+        self._server_choice = ServerChoice()
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
         self._request_limits = RequestLimits()
@@ -366,6 +368,11 @@
         """The large responses at the gates of this host."""
         return self._large_responses
 
+    @property
+    def server_choice(self) -> ServerChoice:
+        """The choice of servers with many slots at the gates of this host."""
+        return self._server_choice
+
     @property
     def is_busy(self) -> bool:
         """Whether requests are running, or responses are being passed on."""
@@ -555,6 +562,13 @@
             if found is not None:
                 wake = found if wake is None else min(wake, found)
         self._schedule(now, wake)
+        late = self._server_choice.find_late_share(now)
+        if late is not None:
+            logger.warning(
+                "Chose servers on which requests are expected to miss their objectives:"
+                " {:.0%} of the choices.",
+                late,
+            )
 
     def _schedule(self, now: float, wake: float | None) -> None:
         if self._timer is not None:
@@ -641,7 +655,9 @@
             return None
         gate, _ = self._gates[name]
         model = self._models.setdefault(gate.pool, ServiceTimeModel())
-        self._queues[name] = ServerQueue(model=model, limits=self._request_limits)
+        self._queues[name] = ServerQueue(
+            model=model, limits=self._request_limits, choice=self._server_choice
+        )
         self._sync_servers(name)
         logger.info("Started to serve gate {}.", name)
         return self._queues[name]
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -8,7 +8,6 @@
 """
 
 import math
-import statistics
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -28,14 +27,16 @@
 from monsoonlug.gate_measures import MIN_SPREAD_SLOTS, GateMeter, ServerCapacity
 from monsoonlug.ids import RequestClass, RequestId, ServerId
 from monsoonlug.request_limits import RequestLimits
+from monsoonlug.server_choice import (
+    FreeServer,
+    ServerChoice,
+    ServerOption,
+    choose_fastest,
+    is_worth_waiting,
+)
+from monsoonlug.server_speeds import MeanSlowdown, ServerSpeed, ServiceTimeModel
 
 RESPONSE_DELIVERY_TIME = 0.015  # seconds from the server's response to the caller
-DEFAULT_SERVICE_TIME = 0.150  # seconds, assumed before the first response of a route
-SERVICE_TIME_WEIGHT = 0.02  # of one sample in a route's moving average
-INITIAL_SAMPLES = 20  # samples below which the average is the arithmetic mean
-LATENCY_FACTOR_WEIGHT = 0.20  # of one sample in a server's moving average
-MIN_LATENCY_FACTOR = 0.3
-MAX_LATENCY_FACTOR = 12.0
 # Multiple of the configured cold rate that is sent to a cold server, which tolerates
 # 1.5 times that rate for one second.
 COLD_RATE_FACTOR = 1.1
@@ -51,14 +52,8 @@
 # is too slow to meet the latency objective.
 MIN_QUEUE_WAIT_SHARE = 0.3
 SWEEP_INTERVAL = 0.020  # seconds between two scans of all waiting requests
-# A shared request waits for a busy server if the fastest free one would take longer
-# than this multiple of the time in which the busy one would finish the request.
-FASTER_SERVER_RATIO = 1.5
 SLOWDOWN_TTL = 0.3  # seconds for which a reported slowdown is used
 DEFAULT_SLOWDOWN = 1.2  # assumed without a report within SLOWDOWN_TTL
-MAX_SLOWDOWN_REPORTS = 21  # of which the median is a server's typical slowdown
-SLOWDOWN_REPORT_INTERVAL = 0.2  # seconds between two of these reports
-BASE_LATENCY_WEIGHT = 0.05  # of one response in a server's mean service time
 MAX_REPORT_AGE = 1.0  # seconds for which an idle server is reported after a probe
 # Seconds after which the keys of a resting server have another owner.
 KEY_MOVE_TIME = 1.0
@@ -69,48 +64,6 @@
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
 
 
-class ServiceTimeModel:
-    """Predicts the service times of a pool's requests from moving averages.
-
-    The prediction is the mean service time of the route times the latency factor of the
-    server, which is 1 for a server of average speed.
-    """
-
-    def __init__(self):
-        self._service_times: dict[str, float] = {}
-        self._sample_counts: dict[str, int] = {}
-        self._latency_factors: dict[ServerId, float] = {}
-
-    def estimate(self, route: str, server: ServerId) -> float:
-        """Returns the expected service time of a request, in seconds."""
-        return self._service_times.get(
-            route, DEFAULT_SERVICE_TIME
-        ) * self.get_latency_factor(server)
-
-    def get_latency_factor(self, server: ServerId) -> float:
-        """Returns the latency of a server relative to the pool's average."""
-        return self._latency_factors.get(server, 1.0)
-
-    def record(self, route: str, server: ServerId, latency: float) -> None:
-        """Adds the latency of one complete response, in seconds, to the averages."""
-        service_time = self._service_times.get(route, latency)
-        samples = self._sample_counts.get(route, 0) + 1
-        latency_factor = self.get_latency_factor(server)
-        weight = 1 / samples if samples < INITIAL_SAMPLES else SERVICE_TIME_WEIGHT
-        service_time += weight * (latency / latency_factor - service_time)
-        self._service_times[route] = max(service_time, 1e-4)
-        self._sample_counts[route] = samples
-        ratio = latency / self._service_times[route]
-        latency_factor += LATENCY_FACTOR_WEIGHT * (ratio - latency_factor)
-        self._latency_factors[server] = min(
-            max(latency_factor, MIN_LATENCY_FACTOR), MAX_LATENCY_FACTOR
-        )
-
-    def remove_server(self, server: ServerId) -> None:
-        """Discards the latency factor of a server that left the pool."""
-        self._latency_factors.pop(server, None)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerReport:
     """What a gate measured of one server.
@@ -127,44 +80,6 @@
     utilization: float
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerSpeed:
-    """Typical slowdown of a server, and its mean service time without the slowdown.
-
-    The slowdown is the median of recent reports, so that short disturbances of the
-    server's machine do not change it.
-    """
-
-    base_latency: float = 0.0
-    latency_count: int = 0
-    recorded_at: float = -math.inf
-    _reports: deque[float] = field(
-        default_factory=lambda: deque(maxlen=MAX_SLOWDOWN_REPORTS)
-    )
-
-    @property
-    def slowdown(self) -> float:
-        """Typical service time on the server's machine relative to normal."""
-        return statistics.median(self._reports) if self._reports else 1.0
-
-    @property
-    def report_count(self) -> int:
-        """Number of reports that the typical slowdown is taken from."""
-        return len(self._reports)
-
-    def record_slowdown(self, now: float, slowdown: float) -> None:
-        """Adds a slowdown that the server reported."""
-        if now - self.recorded_at >= SLOWDOWN_REPORT_INTERVAL:
-            self._reports.append(slowdown)
-            self.recorded_at = now
-
-    def record_latency(self, latency: float, slowdown: float) -> None:
-        """Adds the latency of a response, in seconds, with its slowdown."""
-        self.latency_count += 1
-        weight = max(1 / self.latency_count, BASE_LATENCY_WEIGHT)
-        self.base_latency += weight * (latency / slowdown - self.base_latency)
-
-
 @dataclass(slots=True, kw_only=True)
 class _RunningRequest:
     request: QueuedRequest
@@ -256,6 +171,18 @@
             service_time = max(service_time, self.slots / rate)
         return ServerCapacity(slots=self.slots, service_time=service_time)
 
+    def build_option(self, now: float, wait: float) -> ServerOption:
+        """Returns what the choice of a server depends on."""
+        return ServerOption(
+            name=self.name,
+            is_cold=self.is_cold(now),
+            share=(len(self.running) + 1) / self.slots,
+            base_latency=self.speed.base_latency,
+            latency_count=self.speed.latency_count,
+            slowdown=self.get_slowdown(now),
+            wait=wait,
+        )
+
     def record_send(self, now: float) -> None:
         limiter = self.limits.find(self.name)
         if limiter is not None:
@@ -276,10 +203,20 @@
         model: Service time estimates of the pool.
         limits: Request limits of the servers; those of the host if it has several
             queues, as a server may move between them.
+        choice: Chooses the servers of shared requests; that of the host if it has
+            several queues, as it counts its choices.
     """
 
-    def __init__(self, *, model: ServiceTimeModel, limits: RequestLimits | None = None):
+    def __init__(
+        self,
+        *,
+        model: ServiceTimeModel,
+        limits: RequestLimits | None = None,
+        choice: ServerChoice | None = None,
+    ):
         self._service_model = model
+        self._choice = choice if choice is not None else ServerChoice()
+        self._mean_slowdown = MeanSlowdown()
         self._limits = limits if limits is not None else RequestLimits()
         self._servers: dict[ServerId, _ServerState] = {}
         self._shared = [FairQueue() for _ in RequestClass]
@@ -437,6 +374,7 @@
         if outcome is Outcome.ANSWERED:
             state.speed.record_slowdown(now, slowdown)
             state.speed.record_latency(latency, slowdown)
+            self._mean_slowdown.record(slowdown)
             self._service_model.record(running.request.route, server, latency)
         elif outcome is Outcome.ABANDONED and latency > running.estimate:
             # The time until the abort is a lower bound of the latency.
@@ -726,53 +664,69 @@
                 request = server.queues[request_class.value].pop()
                 if request is not None:
                     return request, server
-            if not len(self._shared[request_class.value]):
+            shared = self._shared[request_class.value]
+            request = shared.peek()
+            if request is None:
                 continue
-            server = self._choose_server(now, ready)
-            if server is None:
+            name = self._choose_server(now, request, ready)
+            if name is None:
                 return None
-            return self._shared[request_class.value].pop(), server
+            return shared.pop(), self._servers[name]
         return None
 
     def _choose_server(
-        self, now: float, ready: list[_ServerState]
-    ) -> _ServerState | None:
-        """Returns the fastest free server, or None if a busy one would be faster.
+        self, now: float, request: QueuedRequest, ready: list[_ServerState]
+    ) -> ServerId | None:
+        """Returns the server of a shared request, or None if it waits for a busy one.
 
-        Of servers with many slots, it is one of which a small share of the slots is in
-        use. The fastest would otherwise be overloaded while others are idle.
+        Servers with many slots are chosen by the request's objective and evenly. The
+        fastest would otherwise be overloaded while others are idle.
         """
-        if self.is_spread:
-            return min(ready, key=lambda item: self._rank_load(now, item))
-        best = min(ready, key=lambda item: self._rank_server(now, item))
-        best_time = self._service_model.estimate("", best.name) * best.get_slowdown(now)
-        for other in self._servers.values():
-            if other in ready or other.is_cold(now) or now < other.paused_until:
-                continue
-            if now >= other.closed_at:
-                continue
-            wait = self._estimate_wait(now, other, 0.0, 0.0)
-            service_time = self._service_model.estimate(
-                "", other.name
-            ) * other.get_slowdown(now)
-            if FASTER_SERVER_RATIO * (wait + service_time) < best_time:
-                return None
-        return best
+        if not self.is_spread:
+            return self._choose_fastest(now, ready)
+        return self._choice.choose(
+            remaining=request.objective - now - RESPONSE_DELIVERY_TIME,
+            route_time=self._service_model.estimate(request.route, ServerId("")),
+            mean_slowdown=self._mean_slowdown.value,
+            ready=[item.build_option(now, 0.0) for item in ready],
+            busy=[
+                item.build_option(now, self._estimate_wait(now, item, 0.0, 0.0))
+                for item in self._iterate_busy(now, ready)
+            ],
+            is_alone=self.queued == 1,
+        )
 
-    def _rank_server(self, now: float, server: _ServerState) -> tuple[bool, float]:
-        latency_factor = self._service_model.get_latency_factor(server.name)
-        return server.is_cold(now), latency_factor * server.get_slowdown(now)
+    def _choose_fastest(self, now: float, ready: list[_ServerState]) -> ServerId | None:
+        get_factor = self._service_model.get_latency_factor
+        best = choose_fastest(
+            FreeServer(
+                name=item.name,
+                is_cold=item.is_cold(now),
+                latency_factor=get_factor(item.name),
+                slowdown=item.get_slowdown(now),
+            )
+            for item in ready
+        )
+        ends = (
+            self._estimate_wait(now, item, 0.0, 0.0) + self._estimate_any(now, item)
+            for item in self._iterate_busy(now, ready)
+        )
+        best_time = self._estimate_any(now, self._servers[best])
+        return None if is_worth_waiting(best_time, ends) else best
 
-    def _rank_load(self, now: float, server: _ServerState) -> tuple[bool, float]:
-        """Ranks servers by the share of their slots in use, and by their speed.
+    def _estimate_any(self, now: float, server: _ServerState) -> float:
+        """Returns the time of a request of no known route on a server, in seconds."""
+        return self._service_model.estimate("", server.name) * server.get_slowdown(now)
 
-        The share alone loads servers most evenly, by their capacity. With the service
-        time as a factor, fast servers get more and responses are quicker. Its square
-        root gave most of both in `bench.even_load`.
-        """
-        is_cold, service_time = self._rank_server(now, server)
-        share = (len(server.running) + 1) / server.slots
-        return is_cold, share * math.sqrt(service_time)
+    def _iterate_busy(
+        self, now: float, ready: list[_ServerState]
+    ) -> Iterator[_ServerState]:
+        """Yields the warm servers in service that cannot start a request now."""
+        for server in self._servers.values():
+            if server in ready or server.is_cold(now) or now < server.paused_until:
+                continue
+            if now < server.closed_at:
+                yield server
 
     def _sweep(self, now: float) -> None:
         self._refuse_in_outage(now)
