--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -61,12 +61,8 @@
 from monsoonlug.response_room import ROOM_RETRY_AFTER, RoomRequest, find_latest
 from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.rollout_messages import RolloutState
-from monsoonlug.serverqueue import (
-    RECONNECT_DELAY,
-    ServerQueue,
-    ServiceTimeModel,
-    build_rest_refusal,
-)
+from monsoonlug.server_speeds import ServiceTimeModel
+from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, build_rest_refusal
 from monsoonlug.version_outcomes import (
     AttemptEnd,
     CountedRequest,
