Order requests at gates by objective and spread the returns of rejected ones

Cause: gates served late requests while others became late, let a flood of one failure domain or class reject all others, and told all rejected requests the same moment. Change: slot_order orders requests that can meet their objective first, fairly by workspace or failure domain, with a tenth of the starts for each waiting class; return_times gives each rejected request a time at the rate of the gate's slots.

--- a/src/monsoonlug/fairness.py
+++ b/src/monsoonlug/fairness.py
@@ -22,6 +22,8 @@
         objective: Time until which a response meets the latency objective, on the same
             clock.
         route: Name of the route; requests of one route take about the same time.
+        origin: Failure domain of the entry that sent the request, or the entry's host
+            if the domain is unknown.
         payload: Data that the gate's owner needs to send the request.
     """
 
@@ -35,6 +37,7 @@
     payload: object = None
     objective: float = math.inf
     route: str = ""
+    origin: str = ""
 
 
 def unit_cost(workspace: WorkspaceId) -> float:
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -330,6 +330,7 @@
             lambda: self._crash_tracker.count_blocked(read_clock()),
         )
         self._add_memory_gauges(add_gauge)
+        self._add_overload_gauges(add_gauge)
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
@@ -370,6 +371,24 @@
         if self._settings.metrics_address is not None:
             await self._ports.start_metrics(self._settings.metrics_address)
 
+    def _add_overload_gauges(self, add_gauge: Callable) -> None:
+        counts = self._gate_host.overload_counts
+        add_gauge(
+            "late_starts",
+            "Requests sent too late for their objective, at servers with many slots.",
+            lambda: counts.late_starts,
+        )
+        add_gauge(
+            "scheduled_returns",
+            "Rejected requests that were told a time of their own to return.",
+            lambda: counts.scheduled_returns,
+        )
+        add_gauge(
+            "exhausted_returns",
+            "Rejected requests for which no slot is expected before their deadline.",
+            lambda: counts.exhausted_returns,
+        )
+
     def _add_memory_gauges(self, add_gauge: Callable) -> None:
         room = self._gate_host.large_responses.room
         add_gauge(
@@ -408,7 +427,7 @@
         responses = LocalPeer(deliver=partial(self._receive_response, own))
         requests = LocalPeer(deliver=partial(self._gate_host.receive, responses))
         self._exchanges.add_peer(own, requests)
-        self._gate_host.add_peer(responses)
+        self._gate_host.add_peer(responses, own)
 
     def _open_host(self, host: HostId, peer: Peer) -> None:
         self._exchanges.add_peer(host, peer)
@@ -444,7 +463,7 @@
 
     async def _serve_stream(self, stream: MessageStream) -> None:
         peer = StreamPeer(stream=stream)
-        self._gate_host.add_peer(peer)
+        self._gate_host.add_peer(peer, HostId(stream.peer))
         try:
             async for message in stream.iterate():
                 if isinstance(message, Ping):
@@ -478,6 +497,7 @@
         self._known_hosts |= live
         for host in live:
             self._departed_at.pop(host, None)
+        self._gate_host.update_hosts(self._known_hosts.values())
         self._update_host_links(now)
         self._finder.update_hosts(hosts)
 
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -57,12 +57,14 @@
 from monsoonlug.messages import RequestHead
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.request_limits import RequestLimits
+from monsoonlug.request_origins import UNKNOWN_HOST, RequestOrigins
 from monsoonlug.response_relays import LargeResponses
 from monsoonlug.response_room import ROOM_RETRY_AFTER, RoomRequest, find_latest
 from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.rollout_messages import RolloutState
 from monsoonlug.server_speeds import ServiceTimeModel
 from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, build_rest_refusal
+from monsoonlug.slot_order import OverloadCounts
 from monsoonlug.version_outcomes import (
     AttemptEnd,
     CountedRequest,
@@ -320,7 +322,8 @@
             on_reachable=self._handle_reachable,
             on_change=self._schedule_report,
         )
-        self._peers: set[Peer] = set()
+        self._peers = RequestOrigins()
+        self.overload_counts = OverloadCounts()
         self._is_report_due = False
         self._timer: asyncio.TimerHandle | None = None
         self._close_tasks: set[asyncio.Task] = set()
@@ -500,9 +503,13 @@
 
     # Handlers of request streams.
 
-    def add_peer(self, peer: Peer) -> None:
-        """Reports the reachability of servers to a peer from now on."""
-        self._peers.add(peer)
+    def update_hosts(self, hosts: Iterable[LiveHost]) -> None:
+        """Sets the hosts that may send requests."""
+        self._peers.update((item.host, item.failure_domain) for item in hosts)
+
+    def add_peer(self, peer: Peer, host: HostId = UNKNOWN_HOST) -> None:
+        """Reports the reachability of servers to a peer of a host from now on."""
+        self._peers.add(peer, host)
         report = self._build_report()
         if report.isolated_pools or report.unreachable or report.leaving:
             _send_to_peer(peer, report)
@@ -513,7 +520,7 @@
 
     def remove_peer(self, peer: Peer) -> None:
         """Cancels the requests of a peer whose connection was lost."""
-        self._peers.discard(peer)
+        self._peers.remove(peer)
         self._jobs.remove_peer(peer)
 
     async def stop(self) -> None:
@@ -550,6 +557,8 @@
             found = queue.find_wake_time(now)
             if found is not None:
                 wake = found if wake is None else min(wake, found)
+        if self.overload_counts.is_report_due(now):
+            logger.info("Demand exceeds capacity: {}.", self.overload_counts)
         self._schedule(now, wake)
 
     def _schedule(self, now: float, wake: float | None) -> None:
@@ -586,6 +595,7 @@
             payload=job,
             objective=now + head.objective,
             route=head.route,
+            origin=self._peers.find(peer),
         )
         if self._large_responses.is_large(head.route):
             refusal = self._wait_for_room(now, request)
@@ -637,7 +647,9 @@
             return None
         gate, _ = self._gates[name]
         model = self._models.setdefault(gate.pool, ServiceTimeModel())
-        self._queues[name] = ServerQueue(model=model, limits=self._request_limits)
+        self._queues[name] = ServerQueue(
+            model=model, limits=self._request_limits, counts=self.overload_counts
+        )
         self._sync_servers(name)
         logger.info("Started to serve gate {}.", name)
         return self._queues[name]
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -2,38 +2,46 @@
 
 A gate limits the concurrent requests of each server to the server's slots, because some
 servers never respond to requests that they cannot queue. Excess requests wait in the
-gate's queues: by strict priority between request classes, and by fair queueing between
-the workspaces of a class. A request that is predicted to miss its deadline is rejected
-immediately, with a Retry-After that estimates when there will be capacity.
+gate's queues, in the order that `slot_order` decides. A request that is predicted to
+miss its deadline is rejected immediately, with a Retry-After that estimates when there
+will be capacity.
 """
 
 import math
+import statistics
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import chain
 
 from monsoonlug.exceptions import (
     ConnectFailed,
     DeadlineExceeded,
-    MonsoonlugError,
     NotGate,
     Overloaded,
     Refusal,
     ServerDraining,
     ServerResting,
 )
-from monsoonlug.fairness import FairQueue, QueuedRequest
+from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Outcome, RefusedRequest
 from monsoonlug.gate_measures import MIN_SPREAD_SLOTS, GateMeter, ServerCapacity
 from monsoonlug.ids import RequestClass, RequestId, ServerId
 from monsoonlug.request_limits import RequestLimits
+from monsoonlug.return_times import MIN_RETRY_AFTER, ReturnTimes
 from monsoonlug.server_speeds import ServerReport, ServerSpeed, ServiceTimeModel
+from monsoonlug.slot_order import (
+    ObjectiveOrder,
+    OverloadCounts,
+    RequestQueue,
+    SlotOrder,
+    StrictOrder,
+)
 
 RESPONSE_DELIVERY_TIME = 0.015  # seconds from the server's response to the caller
 # Multiple of the configured cold rate that is sent to a cold server, which tolerates
 # 1.5 times that rate for one second.
 COLD_RATE_FACTOR = 1.1
-MIN_RETRY_AFTER = 0.050  # seconds
 MAX_RETRY_AFTER = 2.0  # seconds
 # Multiple of a request's expected service time that must remain before its latency
 # objective when it is sent.
@@ -92,9 +100,7 @@
     next_cold_send: float = 0.0
     last_response_at: float = -math.inf
     running: dict[RequestId, _RunningRequest] = field(default_factory=dict)
-    queues: list[FairQueue] = field(
-        default_factory=lambda: [FairQueue() for _ in RequestClass]
-    )
+    queues: list[RequestQueue]
     arrivals: deque[tuple[float, float]] = field(default_factory=deque)
     speed: ServerSpeed = field(default_factory=ServerSpeed)
 
@@ -171,13 +177,23 @@
         model: Service time estimates of the pool.
         limits: Request limits of the servers; those of the host if it has several
             queues, as a server may move between them.
+        counts: What the order and the rejections add to; shared by the host's queues.
     """
 
-    def __init__(self, *, model: ServiceTimeModel, limits: RequestLimits | None = None):
+    def __init__(
+        self,
+        *,
+        model: ServiceTimeModel,
+        limits: RequestLimits | None = None,
+        counts: OverloadCounts | None = None,
+    ):
         self._service_model = model
         self._limits = limits if limits is not None else RequestLimits()
         self._servers: dict[ServerId, _ServerState] = {}
-        self._shared = [FairQueue() for _ in RequestClass]
+        self._counts = counts if counts is not None else OverloadCounts()
+        self._order: SlotOrder = StrictOrder()
+        self._shared = self._order.build_queues()
+        self._return_times = ReturnTimes()
         self._waiting: dict[RequestId, tuple[QueuedRequest, ServerId | None]] = {}
         self._refused: list[RefusedRequest] = []
         self._last_sweep_at = -math.inf
@@ -198,6 +214,11 @@
         """Whether requests are spread over the servers by capacity."""
         return all(item.slots >= MIN_SPREAD_SLOTS for item in self._servers.values())
 
+    @property
+    def is_objective_ordered(self) -> bool:
+        """Whether objectives decide the order, and rejected requests return spread."""
+        return self.is_spread
+
     def set_server(self, server: ServerId, *, slots: int, cold_rate: float) -> None:
         """Adds a server, or updates its limits."""
         state = self._servers.get(server)
@@ -207,10 +228,25 @@
                 slots=slots,
                 cold_rate=cold_rate,
                 limits=self._limits,
+                queues=self._order.build_queues(),
             )
+            self._update_order()
             return
         state.slots = slots
         state.cold_rate = cold_rate
+        self._update_order()
+
+    def _update_order(self) -> None:
+        """Moves the waiting requests to other queues if the order changed."""
+        order_type = ObjectiveOrder if self.is_objective_ordered else StrictOrder
+        if type(self._order) is order_type:
+            return
+        self._order = order_type()
+        self._shared = self._order.build_queues()
+        for state in self._servers.values():
+            state.queues = self._order.build_queues()
+        for request, server in self._waiting.values():
+            self._push(request, server)
 
     def remove_server(self, server: ServerId) -> None:
         """Removes a server and refuses its waiting requests, which were not run."""
@@ -222,6 +258,8 @@
         if not self._servers:
             for request, _ in list(self._waiting.values()):
                 self._refuse(request, Refusal(error=NotGate))
+            return
+        self._update_order()
 
     def close_server(self, server: ServerId, at: float) -> None:
         """Sets the time from which a server is sent no more requests."""
@@ -273,12 +311,12 @@
         # An idle server is always tried; otherwise one slow response could make the
         # estimate refuse all requests, and no new sample would ever correct it.
         if lateness > 0 and wait > 0:
-            return _refuse_overloaded(lateness)
+            return self._reject(now, request, server, lateness)
         excess_wait = wait - self._find_max_wait(now, request, service_time)
         if excess_wait > 0:
-            return _refuse_overloaded(excess_wait)
+            return self._reject(now, request, server, excess_wait)
         self._waiting[request.request_id] = (request, server)
-        self._get_queues(server)[request.request_class.value].push(request)
+        self._push(request, server)
         return None
 
     def dequeue(self, now: float) -> list[tuple[QueuedRequest, ServerId]]:
@@ -292,8 +330,10 @@
             del self._waiting[request.request_id]
             estimate = self._service_model.estimate(request.route, server.name)
             if server.running and now + 0.5 * estimate > request.deadline:
-                self._refused.append((request, _refuse_overloaded(estimate)))
+                refusal = self._reject(now, request, server.name, estimate)
+                self._refused.append((request, refusal))
                 continue
+            self._record_start(now, request, server)
             server.record_send(now)
             server.running[request.request_id] = _RunningRequest(
                 request=request, started_at=now, estimate=estimate
@@ -379,7 +419,9 @@
             predicted = self._predict_spread(now)
             if predicted is not None:
                 return predicted
-        return sum(self._predict_shared(now, route, request_class))
+        queues = self._shared[: request_class.value + 1]
+        requests = chain.from_iterable(queue.iterate() for queue in queues)
+        return sum(self._predict_shared(now, route, requests))
 
     def list_utilizations(self) -> list[float]:
         """Returns the share of the slots in use of each server."""
@@ -545,7 +587,32 @@
         )
         return max(MIN_QUEUE_WAIT_SHARE * service_time, slack)
 
-    def _get_queues(self, server: ServerId | None) -> list[FairQueue]:
+    def _push(self, request: QueuedRequest, server: ServerId | None) -> None:
+        queue = self._get_queues(server)[request.request_class.value]
+        queue.push(request, self._find_latest_start(request, server))
+
+    def _find_latest_start(
+        self, request: QueuedRequest, server: ServerId | None
+    ) -> float:
+        """Returns when a request must start to meet its objective.
+
+        The mean of the servers is used, as any of them may have the next free slot.
+        """
+        servers = self._servers if server is None else [server]
+        times = [self._service_model.estimate(request.route, name) for name in servers]
+        return request.objective - statistics.fmean(times) - RESPONSE_DELIVERY_TIME
+
+    def _record_start(
+        self, now: float, request: QueuedRequest, server: _ServerState
+    ) -> None:
+        """Informs the order of a start, and counts starts after the latest time."""
+        if not self.is_objective_ordered:
+            return
+        self._order.record_start(request.request_class, [self._shared, server.queues])
+        if now > self._find_latest_start(request, server.name):
+            self._counts.late_starts += 1
+
+    def _get_queues(self, server: ServerId | None) -> list[RequestQueue]:
         if server is None:
             return self._shared
         return self._servers[server].queues
@@ -555,26 +622,34 @@
     ) -> tuple[float, float]:
         """Returns the expected queueing delay and service time, in seconds."""
         if server is None:
-            return self._predict_shared(now, request.route, request.request_class)
+            ahead = self._iterate_ahead(now, request, server)
+            return self._predict_shared(now, request.route, ahead)
         state = self._servers[server]
         ahead = 0.0
         count = 0
-        for queue in state.queues[: request.request_class.value + 1]:
-            for other in queue.iterate():
-                ahead += self._service_model.estimate(other.route, server)
-                count += 1
+        for other in self._iterate_ahead(now, request, server):
+            ahead += self._service_model.estimate(other.route, server)
+            count += 1
         wait = self._estimate_wait(now, state, ahead, count)
         return wait, self._service_model.estimate(request.route, server)
 
+    def _iterate_ahead(
+        self, now: float, request: QueuedRequest, server: ServerId | None
+    ) -> Iterator[QueuedRequest]:
+        """Returns the waiting requests that start before a new one."""
+        latest_start = self._find_latest_start(request, server)
+        queues = self._get_queues(server)
+        return self._order.iterate_ahead(now, queues, request, latest_start)
+
     def _predict_shared(
-        self, now: float, route: str, request_class: RequestClass
+        self, now: float, route: str, requests: Iterable[QueuedRequest]
     ) -> tuple[float, float]:
+        """Returns the expected queueing delay after some requests, and service time."""
         ahead = 0.0
         count = 0
-        for queue in self._shared[: request_class.value + 1]:
-            for other in queue.iterate():
-                ahead += self._service_model.estimate(other.route, ServerId(""))
-                count += 1
+        for other in requests:
+            ahead += self._service_model.estimate(other.route, ServerId(""))
+            count += 1
         share = len(self._servers)
         best = (math.inf, 0.0)
         for server in self._servers.values():
@@ -616,9 +691,9 @@
         ready = [item for item in self._servers.values() if item.may_send(now)]
         if not ready:
             return None
-        for request_class in RequestClass:
+        for request_class in self._order.rank_classes():
             for server in ready:
-                request = server.queues[request_class.value].pop()
+                request = server.queues[request_class.value].pop(now)
                 if request is not None:
                     return request, server
             if not len(self._shared[request_class.value]):
@@ -626,7 +701,7 @@
             server = self._choose_server(now, ready)
             if server is None:
                 return None
-            return self._shared[request_class.value].pop(), server
+            return self._shared[request_class.value].pop(now), server
         return None
 
     def _choose_server(
@@ -681,7 +756,7 @@
             service_time = self._estimate_service(request, server)
             if now + MIN_REMAINING_SHARE * service_time <= request.deadline:
                 continue
-            self._refuse(request, _refuse_overloaded(service_time))
+            self._refuse(request, self._reject(now, request, server, service_time))
         for state in self._servers.values():
             if self._limits.find(state.name) is not None:
                 self._refuse_beyond_limit(now, state)
@@ -697,7 +772,9 @@
                 if end <= request.deadline:
                     count += 1
                     continue
-                self._refuse(request, _refuse_overloaded(end - request.deadline))
+                lateness = end - request.deadline
+                refusal = self._reject(now, request, server.name, lateness)
+                self._refuse(request, refusal)
 
     def _estimate_service(
         self, request: QueuedRequest, server: ServerId | None
@@ -708,6 +785,36 @@
             self._service_model.estimate(request.route, name) for name in self._servers
         )
 
+    def _reject(
+        self, now: float, request: QueuedRequest, server: ServerId | None, wait: float
+    ) -> Refusal:
+        """Returns the refusal of a request that could be accepted after a wait."""
+        if not self.is_objective_ordered:
+            retry_after = min(max(wait, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+            return Refusal(error=Overloaded, retry_after=retry_after)
+        found = self._return_times.assign(
+            now,
+            wait=wait,
+            remaining=request.deadline - now,
+            service_time=self._estimate_service(request, server),
+            rate=self._measure_rate(now, server),
+        )
+        self._counts.record_return(is_exhausted=found.is_exhausted)
+        return Refusal(error=Overloaded, retry_after=found.retry_after)
+
+    def _measure_rate(self, now: float, only_server: ServerId | None) -> float:
+        """Returns the requests per second for which slots become free."""
+        rate = 0.0
+        for server in self._servers.values():
+            if only_server is not None and server.name != only_server:
+                continue
+            capacity = server.measure_capacity(now)
+            service_time = capacity.service_time or self._service_model.estimate(
+                "", server.name
+            )
+            rate += capacity.slots / service_time
+        return rate
+
     def _refuse(self, request: QueuedRequest, refusal: Refusal) -> None:
         _, server = self._waiting.pop(request.request_id)
         if server is None or server in self._servers:
@@ -722,9 +829,3 @@
         rest: Seconds until the server accepts requests again.
     """
     return Refusal(error=ServerResting, retry_after=min(rest, KEY_MOVE_TIME))
-
-
-def _refuse_overloaded(retry_after: float) -> Refusal:
-    retry_after = min(max(retry_after, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
-    error: type[MonsoonlugError] = Overloaded
-    return Refusal(error=error, retry_after=retry_after)
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -27,13 +27,8 @@
 from monsoonlug.gate import Outcome
 from monsoonlug.gatehost import ClosingTimes, GateId, LiveHost
 from monsoonlug.ids import Ran, RequestClass
-from monsoonlug.serverqueue import (
-    DEFAULT_SERVICE_TIME,
-    MIN_SILENCE,
-    SILENCE_FACTOR,
-    ServerQueue,
-    ServiceTimeModel,
-)
+from monsoonlug.server_speeds import DEFAULT_SERVICE_TIME, ServiceTimeModel
+from monsoonlug.serverqueue import MIN_SILENCE, SILENCE_FACTOR, ServerQueue
 from monsoonlug.subscription import KeyBlocks
 from monsoonlug.targets import Target
 from tests.platform_fleet import Cut, PlatformFleet
