Reduce the cost of the objective order per request

Change: positions are tuples, classes are sorted only if a share is due, and the latest start is not computed again at the start; a test covers the sender's domain at a gate host.

--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -8,7 +8,6 @@
 """
 
 import math
-import statistics
 from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -333,7 +332,8 @@
                 refusal = self._reject(now, request, server.name, estimate)
                 self._refused.append((request, refusal))
                 continue
-            self._record_start(now, request, server)
+            if self.is_objective_ordered:
+                self._record_start(request, server, now + estimate)
             server.record_send(now)
             server.running[request.request_id] = _RunningRequest(
                 request=request, started_at=now, estimate=estimate
@@ -598,18 +598,19 @@
 
         The mean of the servers is used, as any of them may have the next free slot.
         """
-        servers = self._servers if server is None else [server]
-        times = [self._service_model.estimate(request.route, name) for name in servers]
-        return request.objective - statistics.fmean(times) - RESPONSE_DELIVERY_TIME
+        servers = self._servers if server is None else (server,)
+        total = 0.0
+        for name in servers:
+            total += self._service_model.estimate(request.route, name)
+        return request.objective - total / len(servers) - RESPONSE_DELIVERY_TIME
 
     def _record_start(
-        self, now: float, request: QueuedRequest, server: _ServerState
+        self, request: QueuedRequest, server: _ServerState, expected_end: float
     ) -> None:
-        """Informs the order of a start, and counts starts after the latest time."""
-        if not self.is_objective_ordered:
-            return
-        self._order.record_start(request.request_class, [self._shared, server.queues])
-        if now > self._find_latest_start(request, server.name):
+        """Informs the order of a start, and counts those that miss their objective."""
+        waiting = [self._shared, server.queues] if self._waiting else []
+        self._order.record_start(request.request_class, waiting)
+        if expected_end + RESPONSE_DELIVERY_TIME > request.objective:
             self._counts.late_starts += 1
 
     def _get_queues(self, server: ServerId | None) -> list[RequestQueue]:
--- a/src/monsoonlug/slot_order.py
+++ b/src/monsoonlug/slot_order.py
@@ -4,7 +4,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import chain, islice
 
@@ -14,8 +14,12 @@
 # Requests of other classes that are started while one of a class waits. Two classes may
 # be due at once; the second one then gets every tenth start as well.
 MAX_STARTS_BEFORE = 8
+_CLASSES = tuple(RequestClass)
 REPORT_INTERVAL = 5.0  # seconds between two log lines about rejected requests
 
+# Position of a request in its flow: a time, then the number of its arrival.
+_Position = tuple[float, int]
+
 
 @dataclass(slots=True, kw_only=True)
 class OverloadCounts:
@@ -125,14 +129,6 @@
         return self._queue.iterate()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, order=True)
-class _Position:
-    """Position of a request in its flow: by time, then by arrival."""
-
-    time: float
-    number: int
-
-
 class _Flows:
     """Requests in flows that are served round robin, each in order of a time."""
 
@@ -162,7 +158,7 @@
     def pop_before(self, time: float) -> Iterator[tuple[_Position, QueuedRequest]]:
         """Removes and yields the requests whose time is earlier than this."""
         for flow in list(self._flows):
-            while flow in self._flows and self._flows[flow][0][0].time < time:
+            while flow in self._flows and self._flows[flow][0][0][0] < time:
                 position = self._flows[flow][0][0]
                 yield position, self._pop_first(flow)
 
@@ -187,7 +183,7 @@
     def iterate_ahead(self, flow: str, time: float) -> Iterator[QueuedRequest]:
         """Yields the requests that would be served before one of a flow and a time."""
         own = self._flows.get(flow, [])
-        count = bisect.bisect_right(own, time, key=lambda entry: entry[0].time)
+        count = bisect.bisect_right(own, time, key=lambda entry: entry[0][0])
         for other, entries in self._flows.items():
             limit = count if other == flow else count + 1
             for _, request in entries[:limit]:
@@ -230,14 +226,12 @@
     def push(self, request: QueuedRequest, latest_start: float) -> None:
         """Adds a request; see `RequestQueue`."""
         self._arrivals += 1
-        position = _Position(time=latest_start, number=self._arrivals)
-        self._timely.push(request, position)
+        self._timely.push(request, (latest_start, self._arrivals))
 
     def pop(self, now: float) -> QueuedRequest | None:
         """Removes and returns the request to serve next, or None if there is none."""
         for position, request in self._timely.pop_before(now):
-            late = _Position(time=request.deadline, number=position.number)
-            self._late.push(request, late)
+            self._late.push(request, (request.deadline, position[1]))
         return self._timely.pop() or self._late.pop()
 
     def remove(self, request: QueuedRequest) -> bool:
@@ -269,7 +263,7 @@
         """Returns an empty queue for each class."""
 
     @abstractmethod
-    def rank_classes(self) -> list[RequestClass]:
+    def rank_classes(self) -> Sequence[RequestClass]:
         """Returns the classes in the order in which they get the next slot."""
 
     @abstractmethod
@@ -301,9 +295,9 @@
         """Returns an empty queue for each class."""
         return [ArrivalQueue() for _ in RequestClass]
 
-    def rank_classes(self) -> list[RequestClass]:
+    def rank_classes(self) -> Sequence[RequestClass]:
         """Returns the classes by priority."""
-        return list(RequestClass)
+        return _CLASSES
 
     def record_start(
         self, request_class: RequestClass, waiting: list[list[RequestQueue]]
@@ -326,26 +320,26 @@
     """Priority between classes with a tenth of the starts for each that waits."""
 
     def __init__(self):
-        self._starts_before = dict.fromkeys(RequestClass, 0)
+        self._starts_before = [0] * len(_CLASSES)
 
     def build_queues(self) -> list[RequestQueue]:
         """Returns an empty queue for each class."""
         return [ObjectiveQueue() for _ in RequestClass]
 
-    def rank_classes(self) -> list[RequestClass]:
+    def rank_classes(self) -> Sequence[RequestClass]:
         """Returns the classes by priority, after those whose share is due."""
-        return sorted(RequestClass, key=self._rank)
+        if max(self._starts_before) < MAX_STARTS_BEFORE:
+            return _CLASSES
+        return sorted(_CLASSES, key=self._rank)
 
     def record_start(
         self, request_class: RequestClass, waiting: list[list[RequestQueue]]
     ) -> None:
         """Counts a start of a class, for each other class with waiting requests."""
-        for other in RequestClass:
-            is_waiting = any(len(queues[other.value]) for queues in waiting)
-            if other is request_class or not is_waiting:
-                self._starts_before[other] = 0
-                continue
-            self._starts_before[other] += 1
+        for index, starts in enumerate(self._starts_before):
+            is_waiting = any(len(queues[index]) for queues in waiting)
+            is_counted = is_waiting and index != request_class.value
+            self._starts_before[index] = starts + 1 if is_counted else 0
 
     def iterate_ahead(
         self,
@@ -362,6 +356,6 @@
         yield from own
 
     def _rank(self, request_class: RequestClass) -> tuple[int, int]:
-        starts = self._starts_before[request_class]
+        starts = self._starts_before[request_class.value]
         due = starts if starts >= MAX_STARTS_BEFORE else 0
         return -due, request_class.value
--- a/tests/test_slot_order.py
+++ b/tests/test_slot_order.py
@@ -7,11 +7,13 @@
 from bench import slot_order as bench
 from monsoonlug.fairness import QueuedRequest
 from monsoonlug.gate import Outcome
+from monsoonlug.gatehost import LiveHost
 from monsoonlug.ids import RequestClass
 from monsoonlug.request_origins import RequestOrigins
 from monsoonlug.return_times import FOLLOWED_SHARE, MAX_RETURN_TIMES, ReturnTimes
 from monsoonlug.serverqueue import ServerQueue, ServiceTimeModel
 from monsoonlug.slot_order import ObjectiveOrder, ObjectiveQueue
+from tests.test_large_responses import Gate
 
 SCENARIOS = {item.name: item for item in bench.list_scenarios()}
 
@@ -120,6 +122,23 @@
     assert list(origins) == [second]
 
 
+async def test_gate_host_knows_the_domain_of_the_sender(monkeypatch):
+    """Guards against requests of all failure domains that share one flow."""
+    found = []
+
+    def enqueue(queue, now, request, server):
+        found.append(request.origin)
+
+    gate = Gate(mean=100)
+    gate.host.add_peer(gate.peer, "host-1")
+    monkeypatch.setattr(ServerQueue, "enqueue", enqueue)
+    await gate.send(1)
+    live = LiveHost(host="host-1", failure_domain="d1", stream="")
+    gate.host.update_hosts([live])
+    await gate.send(2)
+    assert found == ["host-1", "d1"]
+
+
 @pytest.mark.parametrize("server", [None, "a"])
 def test_order_follows_the_number_of_slots(server):
     """Guards against requests that are lost when a pool's slots change."""
