Place more gates on hosts with more capacity

Cause: the host of a gate was chosen with equal weights, so most gates of deployment A were on hosts whose links have 3.7 Mbit/s.

Change: entries report the limits of their settings (HostCapacity), the control leader sends HostWeights before LiveHostList where hosts differ, and entries rank hosts by weighted rendezvous hashing (host_weights).

With equal weights the order is the earlier one.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -31,9 +31,16 @@
     check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
+from monsoonlug.gatehost import (
+    EQUAL_WEIGHT,
+    ClosingTimes,
+    GateHost,
+    LiveHost,
+    list_gates,
+)
 from monsoonlug.host_limits import HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
+from monsoonlug.host_weights import CapacityReporter
 from monsoonlug.ids import FailureDomain, HostId, ServerId
 from monsoonlug.ingress import CallerProtocol, Ingress
 from monsoonlug.items import ItemKind, PoolItem
@@ -118,6 +125,9 @@
         self._open_backend = open_backend
         self._runners: list[web.BaseRunner] = []
         self._known_hosts: dict[HostId, LiveHost] = {}
+        self._capacity_reporter = CapacityReporter(
+            host=settings.host, limits=settings.host_limits
+        )
         self._departed_at: dict[HostId, float] = {}
         self._exchanges = ExchangeTable()
         self._metrics = PrometheusMetrics()
@@ -224,9 +234,7 @@
             )
         )
         self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
-        self._spawn(
-            self._run_periodically(REPORT_POLL_INTERVAL, self._send_rollout_reports)
-        )
+        self._spawn(self._run_periodically(REPORT_POLL_INTERVAL, self._send_reports))
         self._spawn(self._run_periodically(SWEEP_INTERVAL, self._ports.close_expired))
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
@@ -330,6 +338,12 @@
             lambda: self._crash_tracker.count_blocked(read_clock()),
         )
         self._add_memory_gauges(add_gauge)
+        add_gauge("host_weight", "Weight of this host for gates.", self._get_weight)
+        add_gauge(
+            "served_gates",
+            "Gates that this host serves.",
+            lambda: self._gate_host.served_gates,
+        )
         add_gauge(
             "queued", "Requests that wait at gates.", lambda: self._gate_host.queued
         )
@@ -487,6 +501,10 @@
         self._update_host_links(now)
         self._finder.update_hosts(hosts)
 
+    def _get_weight(self) -> float:
+        own = self._known_hosts.get(self._settings.host)
+        return own.weight if own is not None else EQUAL_WEIGHT
+
     def _update_host_links(self, now: float) -> None:
         """Closes streams to departed hosts once no responses can arrive any more."""
         for host, departed_at in list(self._departed_at.items()):
@@ -516,9 +534,12 @@
             notices=self._gate_host.list_server_notices(),
         )
 
-    def _send_rollout_reports(self) -> None:
+    def _send_reports(self) -> None:
         now = read_clock()
         session = self._subscription.leader_session
+        capacity = self._capacity_reporter.find_due(session)
+        if capacity is not None and self._subscription.send_to_leader(capacity):
+            self._capacity_reporter.record_sent(session)
         for report in self._outcomes.list_reports(now, session):
             if self._subscription.send_to_leader(report):
                 self._outcomes.record_sent(now, session, report)
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -17,8 +17,8 @@
     GateId,
     LiveHost,
     build_gate_id,
-    rank_hosts,
 )
+from monsoonlug.host_weights import HostRanking
 from monsoonlug.ids import Epoch, FailureDomain, HostId, PoolId, ServerId
 from monsoonlug.jobs import POOLED
 from monsoonlug.load_spreading import LoadSpreader
@@ -115,7 +115,7 @@
         self._is_cold = is_cold
         self._pool_gates: dict[PoolId, list[GateId]] = {}
         self._hosts: list[LiveHost] = []
-        self._ranked_hosts: dict[str, list[LiveHost]] = {}
+        self._ranking = HostRanking([])
         self._unreached: dict[str, dict[HostId, float]] = {}
         self._isolated_pools: dict[HostId, frozenset[PoolId]] = {}
         self._unreachable: dict[HostId, frozenset[ServerId]] = {}
@@ -163,7 +163,7 @@
     def update_hosts(self, hosts: list[LiveHost]) -> None:
         """Sets the live hosts."""
         self._hosts = hosts
-        self._ranked_hosts = {}
+        self._ranking = HostRanking(hosts)
         self.wake_waiters()
 
     def update_reachability(
@@ -373,7 +373,7 @@
         host = self._find_host(gate)
         if host is not None:
             return host
-        for item in self._rank_hosts(gate):
+        for item in self._ranking.rank(gate):
             if self._is_available(item.host, gate.pool):
                 return item.host
         return self._host
@@ -388,7 +388,7 @@
         failed_domains = set()
         failures = 0
         second_choice = None
-        for item in self._rank_hosts(gate):
+        for item in self._ranking.rank(gate):
             if not self._is_available(item.host, gate.pool):
                 continue
             if item.host in failed or self._reports_unreachable(item.host, gate):
@@ -404,13 +404,6 @@
             second_choice = second_choice or item.host
         return second_choice
 
-    def _rank_hosts(self, gate: GateId) -> list[LiveHost]:
-        ranked = self._ranked_hosts.get(gate.name)
-        if ranked is None:
-            ranked = list(rank_hosts(gate, self._hosts))
-            self._ranked_hosts[gate.name] = ranked
-        return ranked
-
     def _is_available(self, host: HostId, pool: PoolId) -> bool:
         """Returns whether a host accepts requests and reaches servers of a pool."""
         if pool in self._isolated_pools.get(host, ()):
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -77,9 +77,7 @@
 # Servers of a pool without keys that share one gate. Responses of 5 KB from eight busy
 # servers saturate the 2 Mbit/s link of a small host; those of three use half of it.
 SERVERS_PER_GATE = 3
-# Hosts of a gate's failure domain that are preferred to those of others. The gates of a
-# domain of which most hosts fail then do not all move to the few that are left.
-LOCAL_CANDIDATES = 3
+EQUAL_WEIGHT = 1.0  # of a host whose weight is not known
 # In the name of a gate of a rollout's target version, before the version's digest.
 VERSION_MARK = "~"
 LEAVING_GRACE = 1.2  # seconds; no requests may arrive 2 s after a leave is acknowledged
@@ -106,11 +104,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LiveHost:
-    """A host whose entry sends heartbeats to control."""
+    """A host whose entry sends heartbeats to control.
+
+    Attributes:
+        weight: Capacity for gates, relative to those of the other hosts.
+    """
 
     host: HostId
     failure_domain: FailureDomain
     stream: str
+    weight: float = EQUAL_WEIGHT
 
 
 def build_gate_id(record: FleetServer) -> GateId:
@@ -122,25 +125,6 @@
     )
 
 
-def rank_hosts(gate: GateId, hosts: list[LiveHost]) -> Iterator[LiveHost]:
-    """Yields hosts by descending preference for serving a gate.
-
-    Some hosts of the gate's failure domain come first, so that responses cross between
-    failure domains at most once.
-    """
-
-    def rank(host: LiveHost) -> int:
-        return -xxhash.xxh64_intdigest(f"{gate.name}|{host.host}".encode())
-
-    ranked = sorted(hosts, key=rank)
-    local = [host for host in ranked if host.failure_domain == gate.failure_domain]
-    preferred = local[:LOCAL_CANDIDATES]
-    yield from preferred
-    for host in ranked:
-        if host not in preferred:
-            yield host
-
-
 def list_gates(view: FleetView) -> dict[GateId, list[FleetServer]]:
     """Returns all gates with their servers.
 
@@ -357,6 +341,11 @@
         now = self._clock()
         return sum(until > now for until, _ in self._server_states.values())
 
+    @property
+    def served_gates(self) -> int:
+        """Number of gates that this host got requests for and still has."""
+        return len(self._queues)
+
     @property
     def queued(self) -> int:
         """Number of waiting requests at all gates."""
--- a/src/monsoonlug/host_limits.py
+++ b/src/monsoonlug/host_limits.py
@@ -34,12 +34,16 @@
         descriptors: Descriptors of the process, or None if they are not limited.
         budget_bytes: Size of the memory budget, or None to derive it.
         client_connections: Open connections of clients, or None to derive it.
+        link_mbps: Rate of the host's link in Mbit/s, or None if it is not limited.
+        cores: Processor time of the process in cores, or None if it is not limited.
     """
 
     memory_bytes: int | None = None
     descriptors: int | None = None
     budget_bytes: int | None = None
     client_connections: int | None = None
+    link_mbps: float | None = None
+    cores: float | None = None
 
     def get_budget_bytes(self) -> int:
         """Returns the size of the memory budget.
--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -8,6 +8,7 @@
 from monsoonlug.fleet_control import FleetControlSettings
 from monsoonlug.fleet_entry import FleetEntrySettings
 from monsoonlug.host_limits import MEGABYTE, HostLimits
+from monsoonlug.host_messages import MAX_CAPACITY
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.platform.fields import JSON_TYPE_NAMES, parse_seconds
 from monsoonlug.rollout_decisions import RolloutLimits
@@ -137,8 +138,26 @@
             client_connections=self._read_count(
                 "clientLimits", "connections", MAX_CONNECTIONS
             ),
+            link_mbps=self._read_rate("linkMbps"),
+            cores=self._read_cores(),
         )
 
+    def _read_cores(self) -> float | None:
+        """Returns the processor time in cores; the lower limit if there are two."""
+        limits = (self._read_rate("cpuShare"), self._read_rate("cpuCores"))
+        return min((item for item in limits if item is not None), default=None)
+
+    def _read_rate(self, name: str) -> float | None:
+        """Returns a number of the optional group `limits`, or None for no limit."""
+        fields = self._document.get("limits")
+        value = fields.get(name) if isinstance(fields, dict) else None
+        if value is None:
+            return None
+        if type(value) not in (int, float) or not 0 <= value <= MAX_CAPACITY:
+            self._add_problem(f"limits.{name}", value, "a number, 0 for no limit")
+            return None
+        return float(value) or None
+
     def _read_count(self, group: str, name: str, maximum: int) -> int | None:
         """Returns a positive number of an optional group, or None if it is absent."""
         fields = self._document.get(group)
--- a/src/monsoonlug/publisher.py
+++ b/src/monsoonlug/publisher.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 from monsoonlug import messages
@@ -32,15 +31,16 @@
     KeyStatus,
     KeyStatusBatch,
     KeyTableChanged,
-    LiveHostList,
     RequestStateChanged,
     ServerNotice,
     check_heartbeat,
     check_wanted_tokens,
 )
+from monsoonlug.host_messages import HostCapacity, check_host_capacity
 from monsoonlug.ids import Fingerprint, HostId, PoolId, ServerId, WorkspaceId
 from monsoonlug.items import Item
 from monsoonlug.leases import FormerOwners
+from monsoonlug.live_hosts import LiveHosts
 from monsoonlug.logs import get_logger
 from monsoonlug.messages import Redirect
 from monsoonlug.rates import GlobalRateLimiter, list_limits
@@ -54,7 +54,6 @@
 MAX_MERGED_BYTES = 524_288  # of the changes in one delta
 MAX_UNSENT_BYTES = 4 * 1_048_576  # queued for a slow entry
 VIEW_CHUNK_BYTES = 262_144  # in one `FleetViewChunk`
-ENTRY_TIMEOUT = 1.6  # seconds without a heartbeat until an entry is not live
 DELTA_BATCH_DELAY = 0.030  # seconds for which deltas are batched at least
 READY_BATCH_DELAY = 0.050  # seconds; the same for `KeyStatus` with `ready`
 BATCH_DELAY_PER_ENTRY = 0.0006  # seconds
@@ -65,12 +64,6 @@
 logger = get_logger("control")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _LiveEntry:
-    heartbeat: FleetHeartbeat
-    last_heartbeat_at: float
-
-
 class Publisher(SubscriberStreams):
     """Serves the entries while this replica is the leader.
 
@@ -96,8 +89,7 @@
         self._server_heartbeat_interval = server_heartbeat_interval
         self._ready_batch: list[KeyStatus] = []
         self._deltas: deque[FleetDelta] = deque(maxlen=MAX_KEPT_DELTAS)
-        self._entries: dict[HostId, _LiveEntry] = {}
-        self._live_rows: list[list[str]] = []
+        self._live_hosts = LiveHosts()
         self._confirmed_since = 0.0
         self._flush_timer: asyncio.TimerHandle | None = None
 
@@ -190,8 +182,7 @@
         self.registrar = None
         self._rate_limiter = None
         self._crash_tracker = CrashTracker()
-        self._entries = {}
-        self._live_rows = []
+        self._live_hosts = LiveHosts()
         self._ready_batch = []
         if self._rollouts is not None:
             self._rollouts.reset()
@@ -312,6 +303,9 @@
             case FleetHeartbeat():
                 check_heartbeat(message)
                 self._handle_heartbeat(subscriber, message)
+            case HostCapacity():
+                check_host_capacity(message)
+                self._live_hosts.record_capacity(message)
             case RolloutReport():
                 if self._rollouts is not None and self._rollouts.record(message):
                     self._decide_rollouts()
@@ -331,9 +325,7 @@
         self, subscriber: Subscriber, heartbeat: FleetHeartbeat
     ) -> None:
         now = self._clock()
-        self._entries[HostId(heartbeat.host)] = _LiveEntry(
-            heartbeat=heartbeat, last_heartbeat_at=now
-        )
+        self._live_hosts.record_heartbeat(now, heartbeat)
         self._rate_limiter.record_heartbeat(now, HostId(heartbeat.host))
         if heartbeat.leaving:
             self._rate_limiter.remove_host(HostId(heartbeat.host))
@@ -372,9 +364,10 @@
         # must not cause another one.
         if subscriber.sent_revision is None:
             self._catch_up(subscriber, heartbeat.revision)
-        if not subscriber.live_hosts_sent and self._live_rows:
+        if not subscriber.live_hosts_sent and self._live_hosts.rows:
             subscriber.live_hosts_sent = True
-            self._send(subscriber, self._build_live_hosts())
+            for message in self._live_hosts.build_messages(self.group.replica.term):
+                self._send(subscriber, message)
         self.read_index_queue.run_after_round(
             partial(self._respond, subscriber, heartbeat)
         )
@@ -418,32 +411,13 @@
     # Live entries.
 
     def _update_live_rows(self, now: float) -> None:
-        rows = []
-        for host in sorted(self._entries):
-            entry = self._entries[host]
-            if now - entry.last_heartbeat_at > ENTRY_TIMEOUT:
-                del self._entries[host]
-                logger.info(
-                    "Removed entry {} from the live entries: no heartbeat for "
-                    "{:.2f} s.",
-                    host,
-                    now - entry.last_heartbeat_at,
-                )
-                continue
-            if not entry.heartbeat.leaving:
-                rows.append(
-                    [host, entry.heartbeat.failure_domain, entry.heartbeat.stream]
-                )
-        if rows == self._live_rows or now - self._confirmed_since < HOST_LIST_DELAY:
+        may_change = now - self._confirmed_since >= HOST_LIST_DELAY
+        if not self._live_hosts.update(now, may_change=may_change):
             return
-        self._live_rows = rows
-        logger.info("Live entries are {}.", ", ".join(row[0] for row in rows))
         for subscriber in self._subscribers:
             subscriber.live_hosts_sent = True
-        self._send_all(self._build_live_hosts())
-
-    def _build_live_hosts(self) -> LiveHostList:
-        return LiveHostList(term=self.group.replica.term, rows=self._live_rows)
+        for message in self._live_hosts.build_messages(self.group.replica.term):
+            self._send_all(message)
 
     # Views.
 
--- a/src/monsoonlug/subscription.py
+++ b/src/monsoonlug/subscription.py
@@ -25,7 +25,8 @@
     covers_all_keys,
     read_range,
 )
-from monsoonlug.gatehost import LiveHost
+from monsoonlug.gatehost import EQUAL_WEIGHT, LiveHost
+from monsoonlug.host_messages import HostWeights
 from monsoonlug.ids import FailureDomain, Fingerprint, HostId, PoolId, ServerId
 from monsoonlug.keyranges import NO_OWNER
 from monsoonlug.links import Link
@@ -184,6 +185,7 @@
         self._leader_session = 0
         self._last_response_at = clock()
         self._view_chunks: dict[str, list[bytes]] = {}
+        self._host_weights: dict[str, HostWeights] = {}
         self._links: dict[str, Link] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._members: tuple[str, ...] = ()
@@ -307,6 +309,7 @@
 
     def _close(self, address: str) -> None:
         self._view_chunks.pop(address, None)
+        self._host_weights.pop(address, None)
         if self._leader == address:
             logger.warning(
                 "Lost the stream to control leader {}; contacting all replicas.",
@@ -327,8 +330,10 @@
                 self._handle_token_response(message)
             case KeyStatusBatch():
                 self._handle_key_status(message)
+            case HostWeights():
+                self._host_weights[address] = message
             case LiveHostList():
-                self._handle_live_hosts(message)
+                self._handle_live_hosts(address, message)
             case ServerCold():
                 self._on_cold(ServerId(message.server), message.seconds)
             case ServerLimited():
@@ -450,9 +455,13 @@
                 self.blocks.add(now, PoolId(pool), start, end, epoch)
         self._schedule_view_update({ViewPart.KEYS})
 
-    def _handle_live_hosts(self, listed: LiveHostList) -> None:
+    def _handle_live_hosts(self, address: str, listed: LiveHostList) -> None:
+        weighted = self._host_weights.pop(address, None)
         if listed.term < self._term:
             return
+        weights = {}
+        if weighted is not None and weighted.term == listed.term:
+            weights = dict(weighted.rows)
         hosts = []
         for host, domain, stream in listed.rows:
             hosts.append(
@@ -460,6 +469,7 @@
                     host=HostId(host),
                     failure_domain=FailureDomain(domain),
                     stream=stream,
+                    weight=weights.get(host, EQUAL_WEIGHT),
                 )
             )
         self.rate_limiter.set_host_count(len(hosts))
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -25,6 +25,7 @@
     pack_range,
 )
 from monsoonlug.gatehost import ClosingTimes, GateHost
+from monsoonlug.host_messages import HostCapacity
 from monsoonlug.keyranges import KeyRange
 from monsoonlug.leases import FormerOwners
 from monsoonlug.limits import Limit
@@ -138,6 +139,7 @@
         messages.encode(
             FleetTokenRequest(sequence=1, host="h1", wanted={"w": [1, 0, -1]})
         ),
+        messages.encode(HostCapacity(host="h1", link_mbps=3.7, cores=0.5)),
     ]
     refused = 0
     for _ in range(INPUTS):
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -23,7 +23,8 @@
 from monsoonlug.fleet import FleetView
 from monsoonlug.fleet_messages import FleetServer
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import LOCAL_CANDIDATES, ClosingTimes, GateId, LiveHost
+from monsoonlug.gatehost import ClosingTimes, GateId, LiveHost
+from monsoonlug.host_weights import LOCAL_CANDIDATES
 from monsoonlug.ids import Ran
 from monsoonlug.reachability import ReachabilityMonitor
 from monsoonlug.subscription import KeyBlocks
