Compute the wait for a busy server only when it decides

Cause: the choice of a server computed the wait for every busy server with each request, although most requests have a candidate.

Change: choose gets find_wait, which is called only without candidates; options are no longer frozen.

--- a/src/monsoonlug/server_choice.py
+++ b/src/monsoonlug/server_choice.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -36,7 +36,7 @@
     WAIT = "wait"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class ServerOption:
     """A server that may run the next request.
 
@@ -47,7 +47,6 @@
         base_latency: Mean service time in seconds without the slowdown; 0 if unknown.
         latency_count: Number of responses that `base_latency` is taken from.
         slowdown: Service time on the server's machine relative to normal.
-        wait: Seconds until the server can start the request; 0 if it is ready.
     """
 
     name: ServerId
@@ -56,7 +55,6 @@
     base_latency: float = 0.0
     latency_count: int = 0
     slowdown: float
-    wait: float = 0.0
 
     @property
     def confidence(self) -> float:
@@ -120,6 +118,7 @@
         mean_slowdown: float,
         ready: Sequence[ServerOption],
         busy: Sequence[ServerOption],
+        find_wait: Callable[[ServerId], float],
         is_alone: bool = True,
     ) -> ServerId | None:
         """Returns the server of a request, or None if it waits for a busy one.
@@ -130,6 +129,7 @@
             mean_slowdown: Mean slowdown of the responses that `route_time` is from.
             ready: Servers that can start the request now; at least one.
             busy: Other servers that are warm and in service.
+            find_wait: Returns the seconds until a busy server can start the request.
             is_alone: Whether no other request waits at the gate. A request does not
                 wait beside others, as the free slot is then needed: in
                 `bench.even_load` at load 0.95, waiting would lower the share within the
@@ -149,10 +149,10 @@
             self._counts[ChoiceResult.IN_TIME] += 1
             return best.name
         best = min(ready, key=lambda item: (item.is_cold, times[item.name]))
-        ends = [item.wait + times[item.name] for item in busy]
-        ends = [end for end in ends if end <= remaining]
+        ends = (find_wait(item.name) + times[item.name] for item in busy)
+        in_time = (end for end in ends if end <= remaining)
         is_late = times[best.name] > remaining
-        if is_alone and is_late and is_worth_waiting(times[best.name], ends):
+        if is_alone and is_late and is_worth_waiting(times[best.name], in_time):
             self._counts[ChoiceResult.WAIT] += 1
             return None
         self._counts[ChoiceResult.LATE] += 1
@@ -163,19 +163,22 @@
     servers: Iterable[ServerOption], route_time: float, mean_slowdown: float
 ) -> dict[ServerId, float]:
     """Returns the expected service time of a request on each server, in seconds."""
-    servers = list(servers)
-    weights = [item.confidence for item in servers]
-    total = sum(weights)
-    mean_latency = 0.0
-    if total > 0:
-        pairs = zip(weights, servers, strict=True)
-        mean_latency = sum(weight * item.base_latency for weight, item in pairs) / total
-    times = {}
+    total = 0.0
+    latency_sum = 0.0
+    weighted = []
     for item in servers:
+        confidence = item.confidence
+        total += confidence
+        latency_sum += confidence * item.base_latency
+        weighted.append((item, confidence))
+    mean_latency = latency_sum / total if total > 0 else 0.0
+    time = route_time / mean_slowdown
+    times = {}
+    for item, confidence in weighted:
         relative = 1.0
         if mean_latency > 0:
-            relative += item.confidence * (item.base_latency / mean_latency - 1)
-        times[item.name] = route_time * relative * item.slowdown / mean_slowdown
+            relative += confidence * (item.base_latency / mean_latency - 1)
+        times[item.name] = time * relative * item.slowdown
     return times
 
 
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -171,7 +171,7 @@
             service_time = max(service_time, self.slots / rate)
         return ServerCapacity(slots=self.slots, service_time=service_time)
 
-    def build_option(self, now: float, wait: float) -> ServerOption:
+    def build_option(self, now: float) -> ServerOption:
         """Returns what the choice of a server depends on."""
         return ServerOption(
             name=self.name,
@@ -180,7 +180,6 @@
             base_latency=self.speed.base_latency,
             latency_count=self.speed.latency_count,
             slowdown=self.get_slowdown(now),
-            wait=wait,
         )
 
     def record_send(self, now: float) -> None:
@@ -688,11 +687,11 @@
             remaining=request.objective - now - RESPONSE_DELIVERY_TIME,
             route_time=self._service_model.estimate(request.route, ServerId("")),
             mean_slowdown=self._mean_slowdown.value,
-            ready=[item.build_option(now, 0.0) for item in ready],
-            busy=[
-                item.build_option(now, self._estimate_wait(now, item, 0.0, 0.0))
-                for item in self._iterate_busy(now, ready)
-            ],
+            ready=[item.build_option(now) for item in ready],
+            busy=[item.build_option(now) for item in self._iterate_busy(now, ready)],
+            find_wait=lambda name: self._estimate_wait(
+                now, self._servers[name], 0.0, 0.0
+            ),
             is_alone=self.queued == 1,
         )
 
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -99,13 +99,14 @@
     assert by_objective > even
 
 
-def choose(ready, *, busy=(), remaining=1.0, **arguments):
-    return ServerChoice().choose(
+def choose(ready, *, busy=(), remaining=1.0, choice=None, **arguments):
+    return (choice or ServerChoice()).choose(
         remaining=remaining,
         route_time=0.3,
         mean_slowdown=1.0,
         ready=ready,
         busy=busy,
+        find_wait=lambda name: 0.2,
         **arguments,
     )
 
@@ -137,7 +138,7 @@
 def test_request_waits_only_for_a_server_that_meets_its_objective():
     """Guards against slots that stay free although waiting does not help."""
     ready = [build_option("slow", slowdown=6.0)]
-    busy = [build_option("fast", wait=0.2)]
+    busy = [build_option("fast")]
     assert choose(ready, busy=busy) is None
     assert choose(ready, busy=busy, is_alone=False) == "slow"
     assert choose(ready, busy=busy, remaining=0.4) == "slow"
@@ -161,9 +162,7 @@
     assert choice.find_late_share(LATE_INTERVAL) is None
     option = build_option("slow", 2.0)
     for _ in range(30):
-        choice.choose(
-            remaining=0.1, route_time=0.3, mean_slowdown=1.0, ready=[option], busy=[]
-        )
+        choose([option], remaining=0.1, choice=choice)
     assert choice.find_late_share(1.5 * LATE_INTERVAL) is None
     assert choice.find_late_share(2 * LATE_INTERVAL) == 1.0
     assert choice.find_late_share(3 * LATE_INTERVAL) is None
