--- a/src/monsoonlug/platform/settings.py
+++ b/src/monsoonlug/platform/settings.py
@@ -8,6 +8,7 @@
 from monsoonlug.fleet_control import FleetControlSettings
 from monsoonlug.fleet_entry import FleetEntrySettings
 from monsoonlug.host_limits import MEGABYTE, HostLimits
+from monsoonlug.host_messages import MAX_CAPACITY
 from monsoonlug.ids import FailureDomain, HostId
 from monsoonlug.platform.fields import JSON_TYPE_NAMES, parse_seconds
 from monsoonlug.rollout_decisions import RolloutLimits
@@ -21,8 +22,6 @@
 DEFAULT_HEARTBEAT_INTERVAL = "1s"
 MAX_MEGABYTES = 1_048_576
 MAX_CONNECTIONS = 1_048_576
-MIN_MBPS = 0.1  # Mbit/s; a response of 90 KB takes 7 s
-MAX_MBPS = 1_000_000  # Mbit/s
 DISABLED_BOUND = "86400s"  # in place of a bound that is not enforced
 
 
@@ -139,18 +138,33 @@
             client_connections=self._read_count(
                 "clientLimits", "connections", MAX_CONNECTIONS
             ),
-            link_mbps=self._read_number("limits", "linkMbps", MIN_MBPS, MAX_MBPS),
+            link_mbps=self._read_rate("linkMbps"),
+            cores=self._read_cores(),
         )
 
+    def _read_cores(self) -> float | None:
+        """Returns the processor time in cores, or None for no limit.
+
+        A host has `cpuShare` of a core that is `cpuCores` times as fast as one core.
+        """
+        share, speed = self._read_rate("cpuShare"), self._read_rate("cpuCores")
+        if share is None and speed is None:
+            return None
+        return (share or 1.0) * (speed or 1.0)
+
+    def _read_rate(self, name: str) -> float | None:
+        """Returns a number of the optional group `limits`, or None for no limit."""
+        fields = self._document.get("limits")
+        value = fields.get(name) if isinstance(fields, dict) else None
+        if value is None:
+            return None
+        if type(value) not in (int, float) or not 0 <= value <= MAX_CAPACITY:
+            self._add_problem(f"limits.{name}", value, "a number, 0 for no limit")
+            return None
+        return float(value) or None
+
     def _read_count(self, group: str, name: str, maximum: int) -> int | None:
         """Returns a positive number of an optional group, or None if it is absent."""
-        number = self._read_number(group, name, 1, maximum)
-        return None if number is None else int(number)
-
-    def _read_number(
-        self, group: str, name: str, minimum: float, maximum: float
-    ) -> float | None:
-        """Returns a number of an optional group, or None if it is absent."""
         fields = self._document.get(group)
         if fields is None:
             return None
@@ -160,11 +174,10 @@
         value = fields.get(name)
         if value is None:
             return None
-        if type(value) not in (int, float) or not minimum <= value <= maximum:
-            allowed = f"a number from {minimum} to {maximum}"
-            self._add_problem(f"{group}.{name}", value, allowed)
+        if type(value) not in (int, float) or not 1 <= value <= maximum:
+            self._add_problem(f"{group}.{name}", value, f"a number from 1 to {maximum}")
             return None
-        return value
+        return int(value)
 
     def _read_stream_port(self) -> int:
         # The range is the same on all machines of an installation.
