Write large responses by objective on a shared link

Cause: pieces of large responses were written in turn, so that under load all of them missed their objective. Change: of the responses that have a piece to write, the one with the earliest objective is next (LinkShare.request_write). A writer that leaves is removed.

--- a/bench/link_delays.py
+++ b/bench/link_delays.py
@@ -257,21 +257,28 @@
                     return
                 if response.to_caller + piece > WINDOW:
                     return
-                response.piece, response.write_at = piece, self.now
-                if self._link is not None:
-                    response.write_at = self._link.reserve_write(
-                        self.now,
-                        piece,
-                        left=response.size - response.passed,
-                        objective=response.arrived_at + OBJECTIVE,
-                    )
-            if response.write_at > self.now:
+                response.piece = piece
+            if not self._may_write(response):
                 return
             response.passed += response.piece
             response.to_caller += response.piece
             self._outgoing.push(response, response.piece)
             response.piece = 0.0
 
+    def _may_write(self, response: Response) -> bool:
+        if self._link is None:
+            return True
+        if self.now < response.write_at:
+            return False
+        response.write_at = self._link.request_write(
+            self.now,
+            id(response),
+            response.piece,
+            left=response.size - response.passed,
+            objective=response.arrived_at + OBJECTIVE,
+        )
+        return response.write_at <= self.now
+
     def _move(self) -> None:
         for response, size in self._incoming.run():
             response.on_link -= size
@@ -288,6 +295,8 @@
             if not is_done and elapsed < DEADLINE + 1.0:
                 continue
             self._sent.remove(response)
+            if self._link is not None:
+                self._link.cancel_write(id(response))
             response.expected.close()
             is_in_time = is_done and elapsed <= OBJECTIVE
             self.result.in_time += is_in_time
--- a/src/monsoonlug/caller_buffers.py
+++ b/src/monsoonlug/caller_buffers.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from monsoonlug.clocks import read_clock
 from monsoonlug.exceptions import AnswerCutOff
 from monsoonlug.link_share import LinkShare
 from monsoonlug.logs import get_logger
@@ -71,18 +72,27 @@
             return
         for start in range(0, len(data), link.piece_bytes):
             piece = data[start : start + link.piece_bytes]
-            now = self._buffers.read_clock()
-            write_at = link.reserve_write(
-                now,
-                len(piece),
-                left=max(self._left, len(piece)),
-                objective=self._objective,
-            )
+            await self._wait_for_link(link, len(piece))
             self._left -= len(piece)
-            if write_at > now:
-                await asyncio.sleep(write_at - now)
             await response.write(piece)
 
+    async def _wait_for_link(self, link: LinkShare, size: int) -> None:
+        try:
+            while True:
+                now = self._buffers.read_clock()
+                write_at = link.request_write(
+                    now,
+                    self,
+                    size,
+                    left=max(self._left, size),
+                    objective=self._objective,
+                )
+                if write_at <= now:
+                    return
+                await asyncio.sleep(write_at - now)
+        finally:
+            link.cancel_write(self)
+
     def close(self) -> None:
         """Gives the bytes back."""
         self._holding.close()
@@ -109,7 +119,7 @@
         budget: Memory budget of the process.
         sizes: Response sizes of the routes.
         link: Shares the host's link, or None if it is not limited.
-        read_clock: Returns the time; needed only with a link.
+        read_clock: Returns the time.
 
     Attributes:
         held: Bytes that are held.
@@ -122,7 +132,7 @@
         budget: MemoryBudget,
         sizes: ResponseSizes,
         link: LinkShare | None = None,
-        read_clock: Callable[[], float] = lambda: 0.0,
+        read_clock: Callable[[], float] = read_clock,
     ):
         self.link = link
         self.read_clock = read_clock
--- a/src/monsoonlug/link_share.py
+++ b/src/monsoonlug/link_share.py
@@ -31,8 +31,8 @@
 STALL_TIME = 0.3
 INITIAL_SAMPLES = 20  # samples below which a mean is the arithmetic mean
 SAMPLE_WEIGHT = 0.05  # of one response in the moving mean
-# Seconds until a request that waits is considered again at the earliest. Estimates
-# change with time, and each look costs processor time.
+# Seconds until a request or a writer that waits is considered again at the earliest.
+# Estimates change with time, and each look costs processor time.
 MIN_WAIT = 0.005
 TIME_TOLERANCE = 1e-6  # seconds; absorbs rounding errors
 
@@ -130,6 +130,7 @@
         self._transfers: dict[Transfer, None] = {}
         self._work: dict[str, tuple[int, float]] = {}
         self._next_write = -math.inf
+        self._writers: dict[object, float] = {}  # those that wait, and their objectives
 
     @property
     def open_transfers(self) -> int:
@@ -219,22 +220,37 @@
 
     # Writes to callers.
 
-    def reserve_write(
-        self, now: float, size: int, *, left: float, objective: float
+    def request_write(
+        self, now: float, writer: object, size: int, *, left: float, objective: float
     ) -> float:
-        """Reserves the link for a piece and returns from when on it may be written.
+        """Returns `now` if a piece may be written, or when to ask again.
+
+        Of the writers that wait, the one with the earliest objective is next. A writer
+        that gives up must call `cancel_write`.
 
         Args:
             now: The time.
+            writer: Identifies the response.
             size: Bytes of the piece, at most `piece_bytes`.
             left: Bytes of the response that are not written yet, with the piece.
             objective: Time until which the response meets its latency objective.
         """
-        start = max(now, self._next_write)
-        is_urgent = start + left / self._write_rate > objective
+        self._writers[writer] = objective
+        if now < self._next_write:
+            return self._next_write
+        if objective > min(self._writers.values()):
+            return now + MIN_WAIT
+        del self._writers[writer]
+        is_urgent = now + left / self._write_rate > objective
         rate = self._urgent_write_rate if is_urgent else self._write_rate
+        # A timer that fires late does not reduce the rate.
+        start = max(self._next_write, now - MIN_WAIT)
         self._next_write = start + size / rate
-        return start
+        return now
+
+    def cancel_write(self, writer: object) -> None:
+        """Removes a writer that waits; has no effect on others."""
+        self._writers.pop(writer, None)
 
 
 def build_link_share(mbps: float | None) -> LinkShare | None:
--- a/tests/test_link_share.py
+++ b/tests/test_link_share.py
@@ -204,8 +204,27 @@
     """Guards against large responses that use the whole link, or miss objectives."""
     for objective, share in ((100.0, 0.7), (0.0, 0.9)):
         link = LinkShare(mbps=3.7)
-        last = 0.0
-        for _ in range(100):
-            last = link.reserve_write(0.0, 16_384, left=MEAN, objective=objective)
-        assert last == pytest.approx(99 * 16_384 / (share * 3.7 * 125_000))
-        assert link.reserve_write(last + 9.0, 1, left=1, objective=100.0) == last + 9.0
+        written, now = 0, 0.0
+        while now < 10.0:
+            time = link.request_write(now, "w", 16_384, left=MEAN, objective=objective)
+            written += 16_384 * (time <= now)
+            now = max(now + 0.001, time)
+        assert written == pytest.approx(10 * share * 3.7 * 125_000, rel=0.01)
+
+
+def test_earliest_objective_is_written_first():
+    """Guards against callers that are late because others were served in turn.
+
+    A writer that has left, or whose caller reads slowly, must not delay the others.
+    """
+    link = LinkShare(mbps=3.7)
+    assert link.request_write(0.0, "a", 16_384, left=MEAN, objective=9.0) == 0.0
+    now = link.request_write(0.0, "late", 16_384, left=MEAN, objective=8.0)
+    assert now > 0.0
+    assert link.request_write(0.0, "gone", 16_384, left=MEAN, objective=1.0) == now
+    assert link.request_write(0.0, "soon", 16_384, left=MEAN, objective=5.0) == now
+    assert link.request_write(now, "late", 16_384, left=MEAN, objective=8.0) > now
+    link.cancel_write("gone")
+    assert link.request_write(now, "soon", 16_384, left=MEAN, objective=5.0) == now
+    now += 0.2
+    assert link.request_write(now, "late", 16_384, left=MEAN, objective=8.0) == now
