--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -192,3 +192,24 @@
     async with asyncio.timeout(10.0):
         while server.abandoned < count:
             await asyncio.sleep(0.05)
+
+
+async def test_callers_share_a_slow_link(tmp_path):
+    """Guards against a response that is cut or never sent where the link is shared.
+
+    One caller stalls; the others, with deadlines of 20 s, must not wait for it.
+    """
+    fleet = PlatformFleet(tmp_path, servers=("east",) * 2)
+    for entry in fleet.entries:
+        entry.settings["limits"] = {"linkMbps": 12}
+    async with fleet:
+        for server in fleet.servers:
+            server.body_size = STALLED_SIZE
+        await warm_up(fleet)
+        entry = fleet.entries[0]
+        stalled = await open_download(entry, "stalled", is_slow=True)
+        opened = [await open_download(entry, f"other-{n}") for n in range(4)]
+        results = await asyncio.gather(*(finish_download(*item) for item in opened))
+        assert results == [(200, True)] * 4
+        assert await finish_download(*stalled) == (200, True)
+        assert sum(server.unread for server in fleet.servers) == 0
