Run the checks of an entry only while something may be due

An idle entry woke up about 40 times a second for checks of hosts, of silent servers and for reports on rollouts. Without open requests or a rollout they have no effect, and each wake-up costs more than the check.

DueTimer calls a check when it may act next, at most one interval later than the periodic check did, and not at all while nothing is open. What opens a request or sends one to a server wakes it. monsoonlug_timed_checks_total counts the calls.

--- a/src/monsoonlug/exchanges.py
+++ b/src/monsoonlug/exchanges.py
@@ -198,9 +198,14 @@
 
 
 class ExchangeTable:
-    """Open exchanges of this host, by the host of the gate."""
+    """Open exchanges of this host, by the host of the gate.
 
-    def __init__(self):
+    Args:
+        on_open: Called with the host of each new exchange.
+    """
+
+    def __init__(self, *, on_open: Callable[[HostId], None] = lambda host: None):
+        self._on_open = on_open
         self._peers: dict[HostId, Peer] = {}
         self._open: dict[HostId, dict[int, Exchange]] = {}
         self._last_stream = 0
@@ -229,6 +234,7 @@
         peer.send(head)
         exchange = Exchange(peer=peer, stream=head.stream, attempt=attempt)
         self._open[host][head.stream] = exchange
+        self._on_open(host)
         return exchange
 
     def has_peer(self, host: HostId) -> bool:
--- a/src/monsoonlug/failure_detector.py
+++ b/src/monsoonlug/failure_detector.py
@@ -50,6 +50,26 @@
         self._pinged: set[HostId] = set()
         self._ping_number = 0
 
+    def find_due(self, host: HostId | None = None) -> float | None:
+        """Returns from when on `check_hosts` may act, in seconds of the clock.
+
+        Args:
+            host: The only host to consider, or None for all.
+
+        Returns:
+            The time, or None if only a new request or frame can change something.
+        """
+        times = []
+        for other in self._pinged if host is None else self._pinged & {host}:
+            peer = self._peers[other]
+            limit = PING_RETRY_INTERVAL if peer.is_unresponsive else PONG_TIMEOUT
+            times.append(peer.pinged_at + limit)
+        for other in self._list_active_hosts() if host is None else [host]:
+            peer = self._peers.get(other)
+            if peer is not None and other not in self._pinged:
+                times.append(peer.last_frame_at + PING_IDLE_TIME)
+        return min(times, default=None)
+
     def is_unresponsive(self, host: HostId) -> bool:
         """Returns whether a host with an open stream has stopped responding."""
         peer = self._peers.get(host)
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -20,6 +20,7 @@
 from monsoonlug.crash_tracking import CrashTracker, RequestState, RequestVerdict
 from monsoonlug.daemons import DaemonService
 from monsoonlug.delivery import DeliveryContext
+from monsoonlug.due_timers import DueTimer
 from monsoonlug.exchanges import ExchangeTable, LocalPeer, Peer
 from monsoonlug.failure_detector import CHECK_INTERVAL, FailureDetector
 from monsoonlug.fleet import FleetView, ViewPart
@@ -119,7 +120,7 @@
         self._runners: list[web.BaseRunner] = []
         self._known_hosts: dict[HostId, LiveHost] = {}
         self._departed_at: dict[HostId, float] = {}
-        self._exchanges = ExchangeTable()
+        self._exchanges = ExchangeTable(on_open=self._watch_host)
         self._metrics = PrometheusMetrics()
         self._ports = ClientPorts(limits=settings.host_limits, metrics=self._metrics)
 
@@ -165,6 +166,9 @@
             outcomes=self._outcomes,
             budget=budget,
             sizes=self._response_sizes,
+            on_send=lambda: self._silence_timer.wake(
+                self._gate_host.find_silence_due()
+            ),
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
@@ -211,22 +215,12 @@
             random=random,
             on_demand=True,
         )
+        self._add_timers()
         self._add_own_peer()
         await self._listen()
         await self._start_metrics()
         self._spawn(self._subscription.run())
-        self._spawn(
-            self._run_periodically(CHECK_INTERVAL, self._failure_detector.check_hosts)
-        )
-        self._spawn(
-            self._run_periodically(
-                SILENCE_POLL_INTERVAL, self._gate_host.check_silent_servers
-            )
-        )
         self._spawn(self._run_periodically(PROBE_INTERVAL, self._probe_servers))
-        self._spawn(
-            self._run_periodically(REPORT_POLL_INTERVAL, self._send_rollout_reports)
-        )
         self._spawn(self._run_periodically(SWEEP_INTERVAL, self._ports.close_expired))
         logger.info("Entry {} listens at {}.", settings.host, settings.listen)
 
@@ -259,6 +253,8 @@
                 self._gate_host.running,
             )
         await self._cancel_tasks()
+        for timer in self._timers.values():
+            timer.stop()
         self._host_links.stop()
         await self._listener.stop()
         await self._ports.stop_metrics()
@@ -268,6 +264,37 @@
         """Replaces the seeds after the settings have changed."""
         self._subscription.set_seeds(seeds)
 
+    def _add_timers(self) -> None:
+        self._host_timer = DueTimer(
+            clock=read_clock,
+            interval=CHECK_INTERVAL,
+            step=self._failure_detector.check_hosts,
+            find_due=self._failure_detector.find_due,
+        )
+        self._silence_timer = DueTimer(
+            clock=read_clock,
+            interval=SILENCE_POLL_INTERVAL,
+            step=self._gate_host.check_silent_servers,
+            find_due=self._gate_host.find_silence_due,
+        )
+        self._report_timer = DueTimer(
+            clock=read_clock,
+            interval=REPORT_POLL_INTERVAL,
+            step=self._send_rollout_reports,
+            find_due=lambda: None if self._outcomes.is_idle else read_clock(),
+        )
+        self._timers = {
+            "hosts": self._host_timer,
+            "silence": self._silence_timer,
+            "rollouts": self._report_timer,
+        }
+        self._metrics.add_counters(
+            "timed_checks",
+            "Checks of hosts and servers in use, and for reports on rollouts.",
+            "check",
+            lambda: {name: timer.calls for name, timer in self._timers.items()},
+        )
+
     async def _listen(self) -> None:
         settings = self._settings
         self._listener = Listener(
@@ -419,6 +446,12 @@
         self._failure_detector.remove_host(host)
         self._finder.remove_reachability(host)
 
+    def _watch_host(self, host: HostId) -> None:
+        """Checks whether a host responds, while requests to it are open."""
+        due = self._failure_detector.find_due(host)
+        if due is not None:
+            self._host_timer.wake(due)
+
     def _is_reachable(self, host: HostId) -> bool:
         if not self._exchanges.has_peer(host):
             return self._host_links.may_open(host)
@@ -428,7 +461,10 @@
         return self._host_links.send(host, message)
 
     def _receive_response(self, host: HostId, message: object) -> None:
+        is_back = self._failure_detector.is_unresponsive(host)
         self._failure_detector.record_frame(host)
+        if is_back:
+            self._watch_host(host)
         match message:
             case Pong():
                 return
@@ -466,6 +502,8 @@
             self._closing_times.update(read_clock(), view)
             self._finder.update_fleet(view, gates)
             self._gate_host.update(view, gates)
+            if not self._outcomes.is_idle:
+                self._report_timer.wake()
         self._finder.wake_waiters()
 
     def _handle_hosts(self, hosts: list[LiveHost]) -> None:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -62,6 +62,7 @@
 from monsoonlug.response_sizes import ResponseSizes
 from monsoonlug.rollout_messages import RolloutState
 from monsoonlug.serverqueue import (
+    MIN_SILENCE,
     RECONNECT_DELAY,
     ServerQueue,
     ServiceTimeModel,
@@ -274,6 +275,7 @@
         outcomes: Counts the requests of pools with a running rollout.
         budget: Memory budget of the process.
         sizes: Response sizes of the routes.
+        on_send: Called when requests are sent to servers.
     """
 
     def __init__(
@@ -287,8 +289,10 @@
         outcomes: VersionOutcomes | None = None,
         budget: MemoryBudget | None = None,
         sizes: ResponseSizes | None = None,
+        on_send: Callable[[], None] = lambda: None,
     ):
         self._on_notice = on_notice
+        self._on_send = on_send
         self._outcomes = VersionOutcomes() if outcomes is None else outcomes
         self._budget = budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES)
         self._large_responses = LargeResponses(
@@ -554,6 +558,8 @@
             found = queue.find_wake_time(now)
             if found is not None:
                 wake = found if wake is None else min(wake, found)
+        if self._running:
+            self._on_send()
         self._schedule(now, wake)
 
     def _schedule(self, now: float, wake: float | None) -> None:
@@ -778,6 +784,17 @@
         delay = self._large_responses.estimate_link_delay()
         return await backend.try_connect(timeout + delay)
 
+    def find_silence_due(self) -> float | None:
+        """Returns from when on `check_silent_servers` may act; None if nothing runs.
+
+        No response is overdue before the shortest silence has passed, whatever the
+        expected service time.
+        """
+        oldest = next(iter(self._running.values()), None)
+        if oldest is None:
+            return None
+        return oldest.started_at + min(MIN_SILENCE, POOL_SILENCE)
+
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
         now = self._clock()
--- a/src/monsoonlug/version_outcomes.py
+++ b/src/monsoonlug/version_outcomes.py
@@ -195,6 +195,11 @@
     def __len__(self) -> int:
         return len(self._pools)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no pool has a running rollout, so that there is nothing to report."""
+        return not self._pools
+
     def update(self, view: FleetView) -> bool:
         """Applies a changed view; counts of rollouts that ended are discarded.
 
