Divide servers into gates anew only where their records changed

Each delta rebuilt the gates of all servers, though mostly one record differs, and each list of live hosts compared all fields of 80 hosts with those of three for each gate.

KnownGates keeps the gates by pool, failure domain and version suffix, and those of keyed servers by record. A GateId is hashed by its name, and preferred hosts are recognized by name. Gates and their order are those of a list built anew (400 random changes in tests/test_fleet_targets.py).

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -32,7 +32,13 @@
     check_gate_report,
 )
 from monsoonlug.fleet_targets import FleetTargetFinder
-from monsoonlug.gatehost import ClosingTimes, GateHost, LiveHost, list_gates
+from monsoonlug.gatehost import (
+    ClosingTimes,
+    GateHost,
+    KnownGates,
+    LiveHost,
+    list_gates,
+)
 from monsoonlug.host_limits import HostLimits
 from monsoonlug.host_links import HostLinks, StreamPeer
 from monsoonlug.ids import FailureDomain, HostId, ServerId
@@ -120,6 +126,7 @@
         self._runners: list[web.BaseRunner] = []
         self._known_hosts: dict[HostId, LiveHost] = {}
         self._departed_at: dict[HostId, float] = {}
+        self._known_gates = KnownGates()
         self._exchanges = ExchangeTable(on_open=self._watch_host)
         self._metrics = PrometheusMetrics()
         self._ports = ClientPorts(limits=settings.host_limits, metrics=self._metrics)
@@ -498,7 +505,7 @@
             routes = {item.name for item in view.items.iterate(ItemKind.ROUTE)}
             self._response_sizes.retain(routes)
         if changed != {ViewPart.KEYS}:
-            gates = list_gates(view)
+            gates = list_gates(view, self._known_gates)
             self._closing_times.update(read_clock(), view)
             self._finder.update_fleet(view, gates)
             self._gate_host.update(view, gates)
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -103,6 +103,10 @@
     name: str
     failure_domain: FailureDomain
 
+    def __hash__(self) -> int:
+        # Names are unique. The hash of all fields takes three times as long.
+        return hash(self.name)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LiveHost:
@@ -136,18 +140,63 @@
     local = [host for host in ranked if host.failure_domain == gate.failure_domain]
     preferred = local[:LOCAL_CANDIDATES]
     yield from preferred
+    names = {host.host for host in preferred}
     for host in ranked:
-        if host not in preferred:
+        if host.host not in names:
             yield host
 
 
-def list_gates(view: FleetView) -> dict[GateId, list[FleetServer]]:
-    """Returns all gates with their servers.
+class KnownGates:
+    """Gates that were listed before, to build only those whose servers changed."""
+
+    def __init__(self):
+        self._keyed: dict[ServerId, tuple[FleetServer, GateId]] = {}
+        self._groups: dict[tuple, tuple[list[FleetServer], dict]] = {}
+
+    def find_keyed(self, record: FleetServer) -> GateId:
+        """Returns the gate of a server of a keyed pool."""
+        known = self._keyed.get(record.server)
+        if known is not None and known[0] is record:
+            return known[1]
+        gate = build_gate_id(record)
+        self._keyed[record.server] = (record, gate)
+        return gate
+
+    def find_group(
+        self, location: tuple[PoolId, FailureDomain, str], records: list[FleetServer]
+    ) -> dict[GateId, list[FleetServer]]:
+        """Returns the gates of the servers at a location; see `_group_servers`."""
+        known = self._groups.get(location)
+        if known is not None and known[0] == records:
+            return known[1]
+        groups = _group_servers(*location, list(records))
+        self._groups[location] = (records, groups)
+        return groups
+
+    def retain(
+        self, view: FleetView, locations: Collection[tuple[PoolId, FailureDomain, str]]
+    ) -> None:
+        """Forgets servers and locations that do not exist any more."""
+        for server in [name for name in self._keyed if name not in view.servers]:
+            del self._keyed[server]
+        for location in [item for item in self._groups if item not in locations]:
+            del self._groups[location]
+
+
+def list_gates(
+    view: FleetView, known: KnownGates | None = None
+) -> dict[GateId, list[FleetServer]]:
+    """Returns all gates with their servers; the lists must not be changed.
 
     A leaving server of a keyed pool keeps its gate while it still owns keys. Servers of
     other pools that are out of service have no gate. Servers of the version that the
     latest rollout of such a pool moves requests to have gates of their own.
+
+    Args:
+        view: The view.
+        known: Gates of the previous call, which is updated; None for none.
     """
+    known = known or KnownGates()
     keyed = {item.name: item.keyed for item in view.items.iterate(ItemKind.POOL)}
     locations: dict[tuple[PoolId, FailureDomain, str], list[FleetServer]] = {}
     gates: dict[GateId, list[FleetServer]] = {}
@@ -155,13 +204,14 @@
         if record.pool not in keyed:
             continue
         if keyed[record.pool]:
-            gates[build_gate_id(record)] = [record]
+            gates[known.find_keyed(record)] = [record]
         elif view.is_in_service(record):
             suffix = _find_suffix(view, record)
             location = (record.pool, record.failure_domain, suffix)
             locations.setdefault(location, []).append(record)
     for location, records in locations.items():
-        gates.update(_group_servers(*location, records))
+        gates.update(known.find_group(location, records))
+    known.retain(view, locations)
     return gates
 
 
--- a/tests/test_fleet_targets.py
+++ b/tests/test_fleet_targets.py
@@ -1,7 +1,17 @@
 """Tests of gate selection and of the grouping of servers into gates."""
 
+from random import Random
+
+from monsoonlug.fleet import FleetView
+from monsoonlug.fleet_messages import (
+    DomainChanged,
+    FleetServer,
+    ServerRemoved,
+)
 from monsoonlug.fleet_targets import GateLoad
-from monsoonlug.gatehost import list_gates
+from monsoonlug.gatehost import KnownGates, list_gates
+from monsoonlug.items import PoolItem
+from monsoonlug.rollout_messages import ServerVersionSet
 from tests.test_fleet import Fleet, build_server, change, put
 from tests.test_items import build_pool
 
@@ -45,3 +55,40 @@
     rates = [len(servers) * SERVER_RATE * RESPONSE_SIZE for servers in gates.values()]
     assert sum(len(servers) for servers in gates.values()) == 24
     assert max(rates) <= SMALL_LINK
+
+
+def test_known_gates_equal_those_of_a_new_list():
+    """Guards against entries that disagree on gates after different deltas."""
+    random = Random(3)
+    view = FleetView()
+    for pool in ("keyed", "desk", "other"):
+        item = {"name": pool, "version": 1, "keyed": pool == "keyed"}
+        view.apply_change(
+            PoolItem(**item, connections=1, cold_seconds=0.0, cold_rate=0.0)
+        )
+    known = KnownGates()
+    for number in range(400):
+        name = f"i-{random.randrange(60)}"
+        pool = random.choice(["keyed", "desk", "other"])
+        domain = random.choice(["east", "west"])
+        changes = [
+            FleetServer(
+                server=name,
+                born=number,
+                pool=pool,
+                address=f"{name}:80",
+                failure_domain=domain,
+                slots=4,
+                draining=random.random() < 0.1,
+            ),
+            ServerRemoved(server=name, born=number),
+            DomainChanged(failure_domain=domain, in_service=random.random() < 0.7),
+            ServerVersionSet(server=name, born=number, version="v2"),
+        ]
+        view.apply_change(random.choices(changes, weights=[10, 2, 1, 1])[0])
+        if number % 3 == 0:
+            continue
+        gates = list_gates(view, known)
+        expected = list_gates(view)
+        assert gates == expected
+        assert list(gates) == list(expected)
