Skip the idle queues of a host when one of them changes

Each arrival and each end of a request at a gate passed all queues of the host, and for each listed the ready servers, refused late requests and looked for the next wake-up, although a queue without waiting or refused requests has nothing to return.

Such queues are skipped, and a queue stops to look for a server once nothing waits. Decisions and their order are unchanged.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -589,6 +589,8 @@
         now = self._clock()
         wake = self._admit_large(now)
         for queue in self._queues.values():
+            if queue.is_idle:
+                continue
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
                 self._running[request.request_id] = _Attempt(
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -298,6 +298,11 @@
         """Number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether `dequeue` and `expire` have nothing to return at any time."""
+        return not self._waiting and not self._refused
+
     @property
     def is_spread(self) -> bool:
         """Whether requests are spread over the servers by capacity."""
@@ -389,10 +394,10 @@
     def dequeue(self, now: float) -> list[tuple[QueuedRequest, ServerId]]:
         """Removes and returns the requests to send now, each with its server."""
         sent = []
-        while True:
+        while self._waiting:
             found = self._dequeue_one(now)
             if found is None:
-                return sent
+                break
             request, server = found
             del self._waiting[request.request_id]
             estimate = self._service_model.estimate(request.route, server.name)
@@ -404,6 +409,7 @@
                 request=request, started_at=now, estimate=estimate
             )
             sent.append((request, server.name))
+        return sent
 
     def finish(
         self,
