Keep the mean rate of a pool's gates between two responses

PoolSpreader.choose summed the rates of all gates of the pool for every request, although they change only with responses and with the gates.

The mean is kept until then. Gates of which nothing is known, and the mean of the least predictions after the first one, are not computed any more.

--- a/src/monsoonlug/load_spreading.py
+++ b/src/monsoonlug/load_spreading.py
@@ -98,8 +98,9 @@
     def add(self, now: float, state: _GateState, weight: float) -> None:
         known = weight * state.rate_knowledge(now)
         self.weight += weight
-        self.known_weight += known
-        self.waits += known * (state.predicted - state.base)
+        if known > 0:
+            self.known_weight += known
+            self.waits += known * (state.predicted - state.base)
 
     @property
     def mean_wait(self) -> float:
@@ -124,6 +125,8 @@
         self._random = random
         self._domain = failure_domain
         self._gates: dict[str, _GateState] = {}
+        # Mean of the gates since the last change of a prediction or of the slots.
+        self._mean_rate: float | None = None
         self._spill = 0.0
         self._spill_base = 0.0
         self._spill_updated_at = -math.inf
@@ -153,12 +156,15 @@
             state.slots = slots
             states[gate.name] = state
         self._gates = states
+        self._mean_rate = None
 
     def record_wait(self, now: float, name: str, predicted: float) -> None:
         """Records the seconds that a gate predicts for a new request."""
         state = self._gates.get(name)
         if state is not None:
-            state.record(now, predicted, self._find_mean_base())
+            mean_base = self._find_mean_base() if state.predicted <= 0 else 0.0
+            state.record(now, predicted, mean_base)
+            self._mean_rate = None
 
     def _find_mean_base(self) -> float:
         """Returns the mean of the least predictions, in seconds, or infinity."""
@@ -193,7 +199,10 @@
         weights = self._weigh(states)
         totals: dict[FailureDomain, _DomainTotal] = {}
         for state, weight in zip(states, weights, strict=True):
-            total = totals.setdefault(state.gate.failure_domain, _DomainTotal())
+            domain = state.gate.failure_domain
+            total = totals.get(domain)
+            if total is None:
+                total = totals[domain] = _DomainTotal()
             total.add(now, state, weight)
         shares = self._divide(now, totals, crossing_cost)
         best = None
@@ -211,19 +220,25 @@
 
     def _weigh(self, states: list[_GateState]) -> list[float]:
         """Returns the weight of each gate: its slots by the time of a request."""
+        mean = self._mean_rate
+        if mean is None:
+            mean = self._mean_rate = self._find_mean_rate()
+        weights = []
+        for state in states:
+            # A gate without responses counts as the mean of the others.
+            rate = 1 / state.predicted if state.predicted > 0 else mean
+            weights.append(state.slots * rate)
+        return weights
+
+    def _find_mean_rate(self) -> float:
+        """Returns the requests per second of one slot, or 1 if nothing is known."""
         slots = 0
         weight = 0.0
         for state in self._gates.values():
             if state.predicted > 0:
                 slots += state.slots
                 weight += state.slots / state.predicted
-        # A gate without responses counts as the mean of the others.
-        mean = weight / slots if slots else 1.0
-        weights = []
-        for state in states:
-            rate = 1 / state.predicted if state.predicted > 0 else mean
-            weights.append(state.slots * rate)
-        return weights
+        return weight / slots if slots else 1.0
 
     def _divide(
         self,
