--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -65,7 +65,12 @@
 from monsoonlug.rollout_messages import RolloutState
 from monsoonlug.server_choice import ServerChoice
 from monsoonlug.server_speeds import ServiceTimeModel
-from monsoonlug.serverqueue import RECONNECT_DELAY, ServerQueue, build_rest_refusal
+from monsoonlug.serverqueue import (
+    MIN_SILENCE,
+    RECONNECT_DELAY,
+    ServerQueue,
+    build_rest_refusal,
+)
 from monsoonlug.slot_order import OverloadCounts
 from monsoonlug.version_outcomes import (
     AttemptEnd,
@@ -100,6 +105,10 @@
     name: str
     failure_domain: FailureDomain
 
+    def __hash__(self) -> int:
+        # Names are unique. The hash of all fields takes three times as long.
+        return hash(self.name)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LiveHost:
@@ -124,13 +133,57 @@
     )
 
 
-def list_gates(view: FleetView) -> dict[GateId, list[FleetServer]]:
-    """Returns all gates with their servers.
+class KnownGates:
+    """Gates that were listed before, to build only those whose servers changed."""
+
+    def __init__(self):
+        self._keyed: dict[ServerId, tuple[FleetServer, GateId]] = {}
+        self._groups: dict[tuple, tuple[list[FleetServer], dict]] = {}
+
+    def find_keyed(self, record: FleetServer) -> GateId:
+        """Returns the gate of a server of a keyed pool."""
+        known = self._keyed.get(record.server)
+        if known is not None and known[0] is record:
+            return known[1]
+        gate = build_gate_id(record)
+        self._keyed[record.server] = (record, gate)
+        return gate
+
+    def find_group(
+        self, location: tuple[PoolId, FailureDomain, str], records: list[FleetServer]
+    ) -> dict[GateId, list[FleetServer]]:
+        """Returns the gates of the servers at a location; see `_group_servers`."""
+        known = self._groups.get(location)
+        if known is not None and known[0] == records:
+            return known[1]
+        groups = _group_servers(*location, list(records))
+        self._groups[location] = (records, groups)
+        return groups
+
+    def retain(
+        self, view: FleetView, locations: Collection[tuple[PoolId, FailureDomain, str]]
+    ) -> None:
+        """Forgets servers and locations that do not exist any more."""
+        for server in [name for name in self._keyed if name not in view.servers]:
+            del self._keyed[server]
+        for location in [item for item in self._groups if item not in locations]:
+            del self._groups[location]
+
+
+def list_gates(
+    view: FleetView, known: KnownGates | None = None
+) -> dict[GateId, list[FleetServer]]:
+    """Returns all gates with their servers; the lists must not be changed.
 
     A leaving server of a keyed pool keeps its gate while it still owns keys. Servers of
     other pools that are out of service have no gate. Servers of the version that the
     latest rollout of such a pool moves requests to have gates of their own.
+
+    Args:
+        view: The view.
+        known: Gates of the previous call, which is updated; None for none.
     """
+    known = known or KnownGates()
     keyed = {item.name: item.keyed for item in view.items.iterate(ItemKind.POOL)}
     locations: dict[tuple[PoolId, FailureDomain, str], list[FleetServer]] = {}
     gates: dict[GateId, list[FleetServer]] = {}
@@ -138,13 +191,14 @@
         if record.pool not in keyed:
             continue
         if keyed[record.pool]:
-            gates[build_gate_id(record)] = [record]
+            gates[known.find_keyed(record)] = [record]
         elif view.is_in_service(record):
             suffix = _find_suffix(view, record)
             location = (record.pool, record.failure_domain, suffix)
             locations.setdefault(location, []).append(record)
     for location, records in locations.items():
-        gates.update(_group_servers(*location, records))
+        gates.update(known.find_group(location, records))
+    known.retain(view, locations)
     return gates
 
 
@@ -259,6 +313,7 @@
         budget: Memory budget of the process.
         sizes: Response sizes of the routes.
         link: Shares the host's link, or None if it is not limited.
+        on_send: Called when requests are sent to servers.
     """
 
     def __init__(
@@ -273,8 +328,10 @@
         budget: MemoryBudget | None = None,
         sizes: ResponseSizes | None = None,
         link: LinkShare | None = None,
+        on_send: Callable[[], None] = lambda: None,
     ):
         self._on_notice = on_notice
+        self._on_send = on_send
         self._outcomes = VersionOutcomes() if outcomes is None else outcomes
         self._budget = budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES)
         self._large_responses = LargeResponses(
@@ -538,6 +595,8 @@
         now = self._clock()
         wake = self._admit_large(now)
         for queue in self._queues.values():
+            if queue.is_idle:
+                continue
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
                 self._running[request.request_id] = _Attempt(
@@ -559,6 +618,8 @@
                 wake = found if wake is None else min(wake, found)
         if self.overload_counts.is_report_due(now):
             logger.info("Demand exceeds capacity: {}.", self.overload_counts)
+        if self._running:
+            self._on_send()
         self._schedule(now, wake)
         late = self._server_choice.find_late_share(now)
         if late is not None:
@@ -798,6 +859,17 @@
         delay = self._large_responses.estimate_link_delay()
         return await backend.try_connect(timeout + delay)
 
+    def find_silence_due(self) -> float | None:
+        """Returns from when on `check_silent_servers` may act; None if nothing runs.
+
+        No response is overdue before the shortest silence has passed, whatever the
+        expected service time.
+        """
+        oldest = next(iter(self._running.values()), None)
+        if oldest is None:
+            return None
+        return oldest.started_at + min(MIN_SILENCE, POOL_SILENCE)
+
     def check_silent_servers(self) -> None:
         """Starts to check servers whose responses are overdue."""
         now = self._clock()
