Require evidence against a failure share of 0.15 for success

Cause: with 30 requests/s the exposure permits about 60 responses, and 4 to 6 failures among them were below the threshold for doubt. Change: over the whole rollout, failures that are more likely at the failure share to be found than at the other version's share make a version doubtful.

--- a/src/monsoonlug/rollout_decisions.py
+++ b/src/monsoonlug/rollout_decisions.py
@@ -412,7 +412,7 @@
                 return found
         began = min(self._first_response_at, now)
         whole = _Sample(at=began, counts={}, server_weight=0.0)
-        window = self._build_window(now, whole)
+        window = replace(self._build_window(now, whole), is_whole=True)
         minimum = MIN_SOUND_RESPONSES
         if self._is_light(now):
             minimum = MIN_LIGHT_RESPONSES
--- a/src/monsoonlug/version_comparison.py
+++ b/src/monsoonlug/version_comparison.py
@@ -21,6 +21,7 @@
 # Failure share above that of the other version which is allowed. Versions to be found
 # fail at least 0.15 of the requests; faults of machines hit both versions.
 ALLOWED_EXCESS = 0.015
+MIN_SOUND_SHARE = 0.01  # of failures that a sound version may have in any case
 BASELINE_MARGIN = 2.0  # standard errors of the other version's failure share
 # Logarithm of the likelihood ratio from which failures are evidence. About 40 windows
 # and routes that overlap little are tested in a rollout, and the allowed share is above
@@ -29,6 +30,7 @@
 MIN_FAILURES = 8  # more than one crash of a server with 6 slots causes
 DOUBTFUL_LOG_RATIO = 3.5  # from which failures are no evidence, but speak against it
 DOUBTFUL_FAILURES = 3
+FOUND_EXCESS = 0.15  # failure share above that of the other version that is to be found
 # Ratio of mean service times that is allowed beyond all noise; versions to be found are
 # at least 3 times as slow.
 ALLOWED_SLOWDOWN = 1.2
@@ -97,12 +99,15 @@
         cold_share: Share of the target's responses that may be from cold starts.
         is_last_look: Whether a bad version breaks a bound if it is not found now; the
             times on all routes together are then compared more strictly.
+        is_whole: Whether the window is the whole rollout. Failures that a bad version
+            explains better than a sound one then speak against the version.
     """
 
     seconds: float
     servers: float
     cold_share: float = 0.0
     is_last_look: bool = False
+    is_whole: bool = False
 
 
 def compare_versions(
@@ -138,6 +143,7 @@
         is_doubtful
         or _has_doubtful_failures(target, others)
         or _has_doubtful_times(difference)
+        or (window.is_whole and _fails_like_bad_version(target, others))
     ):
         verdict = Verdict.DOUBTFUL
     elif target.responses < min_responses:
@@ -252,6 +258,23 @@
     return _compute_log_ratio(target, baseline) > DOUBTFUL_LOG_RATIO
 
 
+def _fails_like_bad_version(target: ResponseCounts, baseline: ResponseCounts) -> bool:
+    """Returns whether a bad version explains the failures better than a sound one.
+
+    With little traffic, 4 failures in 56 responses are below every threshold, but are
+    more likely at the failure share that is to be found.
+    """
+    if target.failures < DOUBTFUL_FAILURES:
+        return False
+    sound = max(MIN_SOUND_SHARE, baseline.failures / max(1, baseline.responses))
+    sound = min(0.8, sound)
+    bad = sound + FOUND_EXCESS
+    successes = max(0.0, target.responses - target.failures)
+    ratio = target.failures * math.log(bad / sound)
+    ratio += successes * math.log((1 - bad) / (1 - sound))
+    return ratio > 0
+
+
 def _has_doubtful_times(difference: _TimeDifference) -> bool:
     """Returns whether times speak against a version without being evidence."""
     if difference.target_count < MIN_SOUND_RESPONSES:
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -182,6 +182,19 @@
     assert compare(target, others) is verdict
 
 
+@pytest.mark.parametrize(
+    ("failures", "verdict"), [(3, Verdict.SOUND), (4, Verdict.DOUBTFUL)]
+)
+def test_failures_in_56_responses_of_a_whole_rollout(failures, verdict):
+    """Guards against success with little traffic at a failure share of 0.15."""
+    counts = {
+        (0, "r"): Counts(responses=300, failures=2),
+        (1, "r"): Counts(responses=56, failures=failures),
+    }
+    window = Window(seconds=9.0, servers=4.0, is_whole=True)
+    assert compare_versions(counts, window).verdict is verdict
+
+
 @pytest.mark.parametrize(
     ("factor", "servers", "verdict"),
     [
