Let a configured replica lead before the test of an earlier build

Cause: calls are redirected to the leader; if the member without bounds for rollouts leads, its answer is 404, as it is for every process without them. Change: on a 404 the test checks that this member leads, restarts it, and then requires 503 as before; any other answer fails.

--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -257,7 +257,16 @@
     bounds, late.settings["bounds"] = late.settings["bounds"], ["grace=6s"]
     async with fleet:
         await asyncio.sleep(3.0)
+        # Calls are redirected to the leader, and the late member does not know them.
+        until = time.monotonic() + CALL_TIMEOUT
         answer = await call(fleet, "Rollouts.Start", build_order())
+        while answer is not None and answer[0] == 404 and time.monotonic() < until:
+            assert find_leader(fleet) is late
+            late.stop()
+            await asyncio.sleep(1.5)
+            late.start()
+            await asyncio.sleep(2.0)
+            answer = await call(fleet, "Rollouts.Start", build_order())
         assert answer is not None and answer[0] == 503
         late.stop()
         late.settings["bounds"] = bounds
