Show a new version to many servers of a small pool in bursts

Cause: a steady canary of a pool of 20 servers has one or two servers; if these are fast, a version 3 times as slow looked sound until the last steps. Change: canary_shares decides the canary's share. Where a steady canary has fewer than 4 servers, the target gets a few requests until cold starts are over and then bursts of 80 requests at many servers. Windows do not divide a burst, and count only the time with requests. The last comparison before the rollback bound needs 2.8 instead of 2.3 standard errors. A new leader lowers the share of a burst.

--- a/src/monsoonlug/rollout_decisions.py
+++ b/src/monsoonlug/rollout_decisions.py
@@ -9,6 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
+from monsoonlug.canary_shares import MAX_BURST_DELAY, CanaryLoad, CanaryPlan
 from monsoonlug.rollout_messages import Rollout, RolloutReport, RolloutState
 from monsoonlug.rollout_reports import (
     OTHERS,
@@ -30,13 +31,6 @@
 # Seconds that the entries' counts and views lag behind: 0.2 between two reports, 0.1
 # until the next decision, 0.1 for the commit and its delta.
 REACTION_TIME = 0.4
-CANARY_PART = 0.5  # of the permitted exposure that the canary may use
-START_SHARE = 0.02  # while the request rate is unknown
-MAX_CANARY_SHARE = 0.5
-MIN_CANARY_TIME = 2.0  # seconds over which the canary's exposure is spread at least
-CANARY_INTERVAL = 1.0  # seconds between two changes of the canary's share
-MIN_SHARE_CHANGE = 0.25  # of the canary's share
-HEADROOM_SECONDS = 1.0  # for which the canary's exposure is planned ahead
 # Seconds before the deadline and shares of the last steps. Moving keys takes 2 to 4 s;
 # a request runs up to about 1 s.
 STEPS = ((2.8, 0.15), (1.9, 0.45), (1.1, 1.0))
@@ -121,11 +115,13 @@
     Attributes:
         server_weight: Sum of the target's responses, each times the number of servers
             that shared the requests.
+        exposed_seconds: Time in which the target version got requests.
     """
 
     at: float
     counts: RouteCounts
     server_weight: float
+    exposed_seconds: float = 0.0
 
 
 class RolloutDecider:
@@ -154,9 +150,13 @@
         self._rate_known_from = self._raise_from + RATE_WINDOW if is_new_leader else now
         self._totals = ReportTotals()
         self._samples: deque[_Sample] = deque()
-        self._server_weight = 0.0
+        self._server_weight = self._exposed_seconds = 0.0
+        self._canary = CanaryPlan(
+            expose_share=limits.expose_share, expose_slack=limits.expose_slack
+        )
         self._share = rollout.share
         self._share_changed_at = now
+        self._is_lowered = False  # whether the last change lowered the share
         self._exposed_share = rollout.share  # that the target servers have by now
         self._first_response_at = math.inf
         self._last_look_at = math.inf
@@ -186,6 +186,7 @@
             may_raise: Whether a majority has confirmed the leader recently.
         """
         if rollout.share != self._share:
+            self._is_lowered = rollout.share < self._share
             self._share = rollout.share
             self._share_changed_at = now
         self._add_sample(now, servers)
@@ -238,7 +239,7 @@
             return running, *self._choose_step(now, servers, comparison)
         if not servers.warm_targets:
             return running, share, ""
-        return running, *self._choose_canary(now, self._deadline - steps[0][0])
+        return running, *self._choose_canary(now, self._deadline - steps[0][0], servers)
 
     def _choose_end(
         self, now: float, servers: PoolServers, comparison: Comparison
@@ -306,7 +307,10 @@
         """Returns whether responses since the last step speak against the version.
 
         They come from more servers than those before, which may all have been fast.
+        After a lowered share, only slow responses are left, also of a sound version.
         """
+        if self._is_lowered:
+            return False
         sample = self._find_sample(self._share_changed_at + REACTION_TIME / 2)
         if sample is None:
             return False
@@ -331,28 +335,25 @@
         expected = others.running * self._share / (1 - self._share)
         return target.running > MAX_BACKLOG_RATIO * expected
 
-    def _choose_canary(self, now: float, until: float) -> tuple[float, str]:
-        rate = self._measure_rate(now)
-        if rate <= 0:
-            return max(self._share, START_SHARE), "target servers are warm"
-        if now < self._rate_known_from:
-            return self._share, ""
-        limits = self._limits
-        total = self._get_total()
-        horizon = max(until - now, MIN_CANARY_TIME)
-        final = limits.expose_slack + limits.expose_share * (total + rate * horizon)
-        spent = self._estimate_spent()
-        planned = (CANARY_PART * final - spent) / (rate * horizon)
-        headroom = CANARY_PART * self._get_permitted(total) - spent
-        allowed = headroom / (rate * HEADROOM_SECONDS)
-        share = round(max(0.0, min(planned, allowed, MAX_CANARY_SHARE)), 4)
-        if not self._share:
-            return share, "target servers are warm"
-        change = abs(share - self._share) / self._share
-        is_recent = now - self._share_changed_at < CANARY_INTERVAL
-        if change < MIN_SHARE_CHANGE or is_recent:
-            return self._share, ""
-        return share, "the exposure permitted has changed"
+    def _choose_canary(
+        self, now: float, until: float, servers: PoolServers
+    ) -> tuple[float, str]:
+        rate, total = self._measure_rate(now), self._get_total()
+        load = CanaryLoad(
+            now=now,
+            until=until,
+            rate=rate,
+            total=total,
+            spent=self._estimate_spent(),
+            total_at_end=total + rate * max(0.0, self._deadline - now),
+            share=self._share,
+            changed_at=self._share_changed_at,
+            targets=servers.targets,
+            is_keyed=servers.is_keyed,
+            is_inherited=now < self._rate_known_from,
+            first_response_at=self._first_response_at,
+        )
+        return self._canary.choose(load)
 
     # Counts.
 
@@ -364,11 +365,14 @@
         previous = self._samples[-1].counts if self._samples else {}
         added = responses - sum_counts(previous, TARGET).responses
         elapsed = now - self._samples[-1].at if self._samples else 0.0
+        most = math.inf
         if servers.is_keyed:
             most = self._exposed_share + elapsed / KEY_MOVE_TIME
+        # Responses to requests before a lowered share arrive for some time.
+        if not self._is_lowered or now - self._share_changed_at >= REACTION_TIME:
             self._exposed_share = min(self._share, most)
-        else:
-            self._exposed_share = self._share
+        if self._share > 0:
+            self._exposed_seconds += elapsed
         self._server_weight += added * _count_exposed(servers, self._exposed_share)
         if responses > 0 and self._first_response_at == math.inf:
             self._first_response_at = now
@@ -377,20 +381,21 @@
             self._last_look_at = min(self._last_look_at, last_look_at)
         if now < self._first_response_at + COLD_SECONDS:
             self._cold_responses = responses
-        sample = _Sample(at=now, counts=counts, server_weight=self._server_weight)
+        sample = _Sample(
+            at=now,
+            counts=counts,
+            server_weight=self._server_weight,
+            exposed_seconds=self._exposed_seconds,
+        )
         self._samples.append(sample)
         is_warm = now >= self._first_response_at + COLD_SECONDS
         if is_warm and self._warm_sample is None:
             self._warm_sample = sample
         # One sample is kept that is older than the longest window.
-        while (
-            len(self._samples) > 2 and self._samples[1].at < now - self._get_longest()
-        ):
+        longest = max(self._limits.rollback, RATE_WINDOW) + MAX_BURST_DELAY
+        while len(self._samples) > 2 and self._samples[1].at < now - longest:
             self._samples.popleft()
 
-    def _get_longest(self) -> float:
-        return max(self._limits.rollback, RATE_WINDOW)
-
     def _compare(self, now: float, servers: PoolServers) -> Comparison:
         """Compares the versions in each window.
 
@@ -399,7 +404,8 @@
         counts = self._samples[-1].counts
         rollback = self._limits.rollback
         ages = (rollback / 4, rollback / 2, rollback)
-        samples = [self._find_sample(now - seconds) for seconds in ages]
+        starts = [self._canary.find_window_start(now - seconds) for seconds in ages]
+        samples = [self._find_sample(start) for start in starts]
         for sample in (*samples, self._warm_sample):
             if sample is None or sample.at >= now:
                 continue
@@ -437,7 +443,7 @@
             return Window(seconds=now - sample.at, servers=1.0, cold_share=1.0)
         cold = max(0.0, self._cold_responses - earlier)
         return Window(
-            seconds=now - sample.at,
+            seconds=self._exposed_seconds - sample.exposed_seconds,
             servers=(self._server_weight - sample.server_weight) / responses,
             cold_share=min(1.0, cold / responses),
         )
--- a/src/monsoonlug/version_comparison.py
+++ b/src/monsoonlug/version_comparison.py
@@ -55,7 +55,9 @@
 # 2.6 for both, 4 of 300 simulated sound versions with a cold start were called bad.
 SPEED_MARGIN = 2.6
 NOISE_MARGIN = 3.5
-LAST_LOOK_MARGIN = 2.3  # instead, for the one comparison that cannot be put off
+# Instead, for the one comparison that cannot be put off. With 2.3, 1 of 300 simulated
+# sound versions in a small pool was called bad.
+LAST_LOOK_MARGIN = 2.8
 MIN_SOUND_RESPONSES = 20  # that make a version sound if nothing speaks against it
 MAX_SOUND_SLOWDOWN = 2.0
 
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from monsoonlug.canary_shares import CanaryLoad, CanaryPlan
 from monsoonlug.exceptions import DamagedFrame
 from monsoonlug.rollout_messages import RolloutReport, RolloutState
 from monsoonlug.rollout_reports import ReportTotals, check_report
@@ -28,6 +29,7 @@
     "leader lost, counts late": {"lost_leader_at": 5.0, "counts_delay": 1.5},
     "leader lost in the last steps": {"lost_leader_at": 10.0},
     "leader lost at the end": {"lost_leader_at": 10.6},
+    "leader lost in a burst": SMALL | {"lost_leader_at": 4.7},
 }
 BAD = {
     "fails 0.15": {"fail_share": 0.15},
@@ -52,6 +54,7 @@
     "fails in a keyed pool": KEYED | {"fail_share": 0.15},
     "fails with little traffic": {"rate": 30.0, "servers": 20, "fail_share": 0.4},
     "leader lost": {"fail_share": 0.15, "lost_leader_at": 3.0},
+    "leader lost in a burst": SMALL | {"fail_share": 0.3, "lost_leader_at": 4.7},
     "leader lost, counts late": {
         "fail_share": 0.3,
         "lost_leader_at": 2.0,
@@ -131,6 +134,41 @@
     assert decision.state is RolloutState.SUCCEEDED
 
 
+def build_load(now, **changes):
+    values = {
+        "now": now,
+        "until": 9.2,
+        "rate": 200.0,
+        "total": 200.0 * now,
+        "spent": 24.0,
+        "total_at_end": 2_400.0,
+        "share": 0.04,
+        "changed_at": 1.0,
+        "targets": 20,
+        "is_keyed": False,
+        "is_inherited": False,
+        "first_response_at": 1.2,
+    }
+    return CanaryLoad(**values | changes)
+
+
+def test_burst_begins_and_ends_once_while_the_view_lags():
+    """Guards against a burst that is lost, or repeated at once, before its commit."""
+    plan = CanaryPlan(expose_share=0.1, expose_slack=50)
+    shares = [plan.choose(build_load(now))[0] for now in (1.3, 4.3, 4.4)]
+    assert shares == [0.04, 0.5, 0.5]
+    for now in (5.0, 5.1):
+        load = build_load(now, share=0.5, changed_at=4.5, spent=110.0)
+        assert plan.choose(load)[0] == 0.0
+
+
+def test_new_leader_ends_a_burst():
+    """Guards against a burst that goes on while the next leader learns the rate."""
+    plan = CanaryPlan(expose_share=0.1, expose_slack=50)
+    load = build_load(5.6, rate=0.0, share=0.5, is_inherited=True)
+    assert plan.choose(load)[0] < 0.04
+
+
 def build_report(*rows, host="h1", boot="b1"):
     return RolloutReport(host=host, boot=boot, pool="p", number=1, rows=list(rows))
 
