Keep a steady canary in pools too small for bursts

Cause: in a pool with fewer than 6 target servers (9 with keys) no burst reaches 3 of them, so the canary got no request between the cold starts and the last steps. Change: bursts are used only where one can reach 3 target servers.

--- a/src/monsoonlug/canary_shares.py
+++ b/src/monsoonlug/canary_shares.py
@@ -99,9 +99,7 @@
             return max(load.share, START_SHARE), "target servers are warm"
         steady = self._compute_steady_share(load)
         if self._uses_bursts is None:
-            is_small = math.ceil(steady * load.targets) < MIN_STEADY_SERVERS
-            fits = load.rate * MAX_CANARY_SHARE * MAX_BURST_TIME >= BURST_REQUESTS
-            self._uses_bursts = is_small and fits
+            self._uses_bursts = self._needs_bursts(load, steady)
         if not self._uses_bursts:
             return self._follow(load, steady)
         if load.now < load.first_response_at + COLD_SECONDS:
@@ -145,8 +143,16 @@
             return 0.0
         left = BURST_PART * self._get_permitted(load.total_at_end) - spent
         seconds = LEADERLESS_TIME + (KEY_RETURN_TIME if load.is_keyed else 0.0)
-        maximum = MAX_KEYED_SHARE if load.is_keyed else MAX_CANARY_SHARE
-        return round(max(0.0, min(maximum, left / (load.rate * seconds))), 4)
+        share = min(_get_max_share(load), left / (load.rate * seconds))
+        return round(max(0.0, share), 4)
+
+    def _needs_bursts(self, load: CanaryLoad, steady: float) -> bool:
+        """Returns whether bursts reach more servers than a steady canary."""
+        if math.ceil(steady * load.targets) >= MIN_STEADY_SERVERS:
+            return False
+        if _get_max_share(load) * load.targets < MIN_BURST_SERVERS:
+            return False
+        return load.rate * MAX_CANARY_SHARE * MAX_BURST_TIME >= BURST_REQUESTS
 
     def _compute_steady_share(self, load: CanaryLoad) -> float:
         horizon = max(load.until - load.now, MIN_CANARY_TIME)
@@ -168,3 +174,7 @@
 
     def _get_permitted(self, total: float) -> float:
         return self._expose_slack + self._expose_share * total
+
+
+def _get_max_share(load: CanaryLoad) -> float:
+    return MAX_KEYED_SHARE if load.is_keyed else MAX_CANARY_SHARE
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -162,6 +162,13 @@
         assert plan.choose(load)[0] == 0.0
 
 
+def test_pool_of_few_servers_keeps_its_canary():
+    """Guards against a canary that stops where a burst would reach too few servers."""
+    plan = CanaryPlan(expose_share=0.1, expose_slack=50)
+    shares = [plan.choose(build_load(now, targets=4))[0] for now in (1.3, 4.3, 4.4)]
+    assert all(shares), shares
+
+
 def test_new_leader_ends_a_burst():
     """Guards against a burst that goes on while the next leader learns the rate."""
     plan = CanaryPlan(expose_share=0.1, expose_slack=50)
