Pass on refusals for load when no time is left for another server

A request that a gate or a server refused for load was tried at another gate up to its deadline.

With less than 0.15 of the request's time left, the refusal is passed on as it is: 503, not run, with its Retry-After. The test fails on the code before (2 of 4 cases).

--- a/src/monsoonlug/dispatch.py
+++ b/src/monsoonlug/dispatch.py
@@ -34,6 +34,9 @@
 RETRY_RATIO = 0.1  # retries per request, on average
 RETRY_BURST = 10.0  # retries that may be sent in a burst
 INITIAL_BACKOFF = 0.010  # seconds; doubles with each attempt
+# Share of a request's time that must be left to try another server after a refusal for
+# load. A later attempt waits in a queue when the time ends, and its outcome is unknown.
+MIN_RETRY_TIME_SHARE = 0.15
 # The gate could not connect to the backend server; another gate may be able to.
 UNREACHED_ERRORS = frozenset((ConnectFailed, ProcessGone))
 GATE_ERRORS = UNREACHED_ERRORS | {HostIsolated}
@@ -294,7 +297,7 @@
         self._reroutes = 0
         self._unreached = 0
         self._maybe_ran = False
-        self._begun = False
+        self._begun_at: float | None = None
         self._retry_at: float | None = None
         self._received = 0
         self._length: int | None = None
@@ -340,9 +343,9 @@
         return min(self._retry_at, self._deadline)
 
     def _handle_begin(self, now: float) -> Action:
-        if self._begun:
+        if self._begun_at is not None:
             raise ValueError("Begin was reported twice for one request")
-        self._begun = True
+        self._begun_at = now
         self._budget.deposit()
         if now >= self._deadline:
             return self._refuse(DeadlineExceeded, None)
@@ -414,6 +417,8 @@
         retriable = event.error in RETRIABLE_ERRORS
         if event.error is Overloaded:
             retriable = self._pooled
+        if event.error in (Overloaded, BackendRefused) and not self._has_time(now):
+            retriable = False
         if event.error in UNREACHED_ERRORS:
             self._unreached += 1
             retriable = self._unreached < MAX_UNREACHED and event.has_alternative
@@ -497,6 +502,11 @@
         self._retry_at = at
         return Retry(attempt=self.attempt, at=at)
 
+    def _has_time(self, now: float) -> bool:
+        """Returns whether another server may still run the request in time."""
+        total = self._deadline - self._begun_at
+        return self._deadline - now >= MIN_RETRY_TIME_SHARE * total
+
     def _has_attempts_left(self, is_rerouted: bool) -> bool:
         if is_rerouted:
             return self._reroutes < MAX_REROUTES
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -32,9 +32,11 @@
     Wait,
 )
 from monsoonlug.exceptions import (
+    BackendRefused,
     KeyRefused,
     NotGate,
     OutcomeUnknown,
+    Overloaded,
     ShuttingDown,
     StreamClosed,
 )
@@ -408,3 +410,25 @@
     attempts.decide(0.0, make_part(0, 2))
     assert attempts.decide(1.0, Stopping()) == Wait()
     assert attempts.decide(1.0, make_part(2, 8, last=True)) == Forward(last=True)
+
+
+@pytest.mark.parametrize("error", [Overloaded, BackendRefused])
+@pytest.mark.parametrize(("share", "is_retried"), [(0.8, True), (0.9, False)])
+def test_refusal_for_load_near_the_deadline_is_passed_on(error, share, is_retried):
+    """Guards against 502 for requests that no server has run.
+
+    A last attempt waited in another queue at the deadline, so that callers could not
+    send requests again that may run only once.
+    """
+    attempts = make_attempts(idempotent=False, pooled=True, deadline=3.0)
+    start(attempts)
+    event = AttemptFailed(
+        attempt=1, request_id="r1", error=error, ran=Ran.NOT_RUN, retry_after=0.1
+    )
+    action = attempts.decide(share * 3.0, event)
+    if is_retried:
+        assert isinstance(action, Retry)
+        return
+    assert action.refusal.error is error
+    assert action.refusal.ran is Ran.NOT_RUN
+    assert action.refusal.retry_after == 0.1
