Make the choice of servers a plain attribute of the gate host

The last read of the change found a private attribute with a property that only returns it, beside overload_counts, which is public without one. Behaviour is unchanged.

--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -347,7 +347,7 @@
         self._gates: dict[str, tuple[GateId, list[FleetServer]]] = {}
         self._queues: dict[str, ServerQueue] = {}
         self._models: dict[PoolId, ServiceTimeModel] = {}
-        self._server_choice = ServerChoice()
+        self.server_choice = ServerChoice()
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
         self._cold_until: dict[ServerId, float] = {}
         self._request_limits = RequestLimits()
@@ -417,11 +417,6 @@
         """The large responses at the gates of this host."""
         return self._large_responses
 
-    @property
-    def server_choice(self) -> ServerChoice:
-        """The choice of servers with many slots at the gates of this host."""
-        return self._server_choice
-
     @property
     def is_busy(self) -> bool:
         """Whether requests are running, or responses are being passed on."""
@@ -621,7 +616,7 @@
         if self._running:
             self._on_send()
         self._schedule(now, wake)
-        late = self._server_choice.find_late_share(now)
+        late = self.server_choice.find_late_share(now)
         if late is not None:
             logger.warning(
                 "Chose servers on which requests are expected to miss their objectives:"
@@ -720,7 +715,7 @@
         self._queues[name] = ServerQueue(
             model=model,
             limits=self._request_limits,
-            choice=self._server_choice,
+            choice=self.server_choice,
             counts=self.overload_counts,
         )
         self._sync_servers(name)
