--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -468,7 +468,13 @@
         return await reader.readexactly(int(headers["content-length"]))
     body = b""
     if headers.get("transfer-encoding") == "chunked":
-        while size := int(await reader.readline(), 16):
+        while True:
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line, 16)
+            if size == 0:
+                break
             body += await reader.readexactly(size)
             await reader.readline()
         await reader.readline()
