--- a/review/15/case.py
+++ b/review/15/case.py
@@ -13,33 +13,45 @@
 
 HOST = "lights.example"
 KEY = "2b9wu3fexd9dnn2ctnfz"
-SERVERS = 6
-CALLERS = 24
-WORK = 0.11  # seconds, that of deposit-charge
+# The servers of till-ledger with their speeds, and the callers' rates at it, by zone.
+ZONES = {
+    "kingston": ((0.5, 1.0, 1.5), 10.8), "spanish-town": ((1.0, 1.0), 14.3),
+    "may-pen": ((1.0, 1.5), 10.4), "portmore": ((1.0,), 13.7),
+}
+COLD_ZONE = "may-pen"
+BURST, BURST_TIME = 1.7, 3.0  # factor, seconds
+WORK = 0.11  # seconds at speed 1, that of deposit-charge
 DEADLINE = 800  # milliseconds, that of deposit-charge
-DOWN_TIME = 2.0  # seconds for which the zone's servers are down
+DOWN_TIME = 4.2  # seconds for which the zone's servers are down
 CORE_DOWN_TIME = 0.9  # seconds
 WARMUP = 3.0  # seconds
-WARMUP_RATE = 2.7  # requests per second
+WARMUP_RATE = 3.8  # requests per second
 FACTOR, SLACK = 1.5, 5  # `warmupFactor` and `warmupSlack` of the site
 ALLOWED = WARMUP_RATE * FACTOR + SLACK
 
 
-async def call_forever(fleet, number, counts, is_over):
-    """Sends one request after the other, as a caller in a burst does."""
-    entry = fleet.entries[number % len(fleet.entries)]
-    sent = 0
-    while not is_over.is_set():
-        sent += 1
-        request_id = f"{number:08x}{sent:08x}"
+async def call_zone(fleet, number, rate, state):
+    """Sends requests to the entry of a zone at a mean rate, and more in a burst."""
+    entry = fleet.entries[number]
+    pending, sent = set(), 0
+
+    async def send(request_id):
         reply = await fleet.send(entry, f.build_request(
-            "POST", HOST, "/till/deposit", request_id=request_id, key=KEY,
+            "PUT", HOST, "/till/deposit", request_id=request_id, key=KEY,
             body=b"{}", deadline=DEADLINE,
         ), 2.0)
-        counts[reply.status] = counts.get(reply.status, 0) + 1
+        state["counts"][reply.status] = state["counts"].get(reply.status, 0) + 1
         fleet.record.write(f"sent {request_id}: {reply.status}")
-        pause = 0.2 * random.random()
-        await asyncio.sleep(pause if reply.status == 200 else 0.1 + pause)
+
+    while not state["is_over"]:
+        sent += 1
+        task = asyncio.create_task(send(f"{number:08x}{sent:08x}"))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        is_burst = time.monotonic() < state["burst_until"]
+        await asyncio.sleep(random.expovariate(rate * (BURST if is_burst else 1.0)))
+    if pending:
+        await asyncio.wait(pending, timeout=3.0)
 
 
 async def warm_up(server, back_at):
@@ -59,7 +71,10 @@
 
 
 async def check(fleet, has_trouble):
-    servers = [fleet.add_server("till-ledger", work=WORK) for _ in range(SERVERS)]
+    servers = [
+        fleet.add_server("till-ledger", work=WORK / speed, zone=zone)
+        for zone, (speeds, _) in ZONES.items() for speed in speeds
+    ]
     for server in servers:
         await server.start()
     reply = await fleet.configure([
@@ -71,13 +86,14 @@
         raise f.CaseError(f"config: {reply}")
     await fleet.wait_ready()
     await asyncio.sleep(4.0)
-    counts, is_over = {}, asyncio.Event()
+    counts = {}
+    state = {"counts": counts, "is_over": False, "burst_until": 0.0}
     callers = [
-        asyncio.create_task(call_forever(fleet, number, counts, is_over))
-        for number in range(CALLERS)
+        asyncio.create_task(call_zone(fleet, number, rate, state))
+        for number, (_, rate) in enumerate(ZONES.values())
     ]
     await asyncio.sleep(4.0)
-    zone = fleet.zones[-1]
+    zone = COLD_ZONE
     cold = [server for server in servers if server.zone == zone]
     before = len([1 for s in cold for t, *_ in s.runs if t > time.monotonic() - 2.0])
     fleet.record.write(f"servers of {zone} end; {before} runs in the 2 s before")
@@ -90,6 +106,7 @@
             node.kill()
     await asyncio.sleep(0.2)
     back_at = time.monotonic()
+    state["burst_until"] = back_at + BURST_TIME
     fleet.record.write(f"servers of {zone} come back cold, under their ids")
     warmers = []
     for server in cold:
@@ -103,8 +120,8 @@
             node.bootstrap = False
             node.start()
     await asyncio.sleep(WARMUP + 1.0)
-    is_over.set()
-    await asyncio.wait(callers, timeout=3.0)
+    state["is_over"] = True
+    await asyncio.wait(callers, timeout=4.0)
     for task in warmers:
         task.cancel()
     findings = []
@@ -127,4 +144,4 @@
     return findings
 
 
-f.run_case(HERE, check, entries=3)
+f.run_case(HERE / "record.txt", check, entries=len(ZONES), zones=tuple(ZONES))
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -661,16 +661,16 @@
             "spec": spec}
 
 
-def run_case(folder, check, **options):
+def run_case(record_path, check, **options):
     """Runs one case and ends the script with its result.
 
     Args:
-        folder: The folder of the case, for `record.txt`.
+        record_path: The `record.txt` of the case.
         check: Coroutine function `(fleet, has_trouble) -> list of findings`.
         options: Passed on to `Fleet`.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(folder) / "record.txt")
+    record = Record(record_path)
 
     async def play():
         fleet = Fleet(record=record, **options)
