Log what cold servers got before the news, and count them

The hypotheses about cold servers that get full load could not be told apart: no line said when a host learned of a cold start, or what it had sent until then. A host now logs both with the first notice of each cold start, and the gauge cold_servers counts the servers that it knows of. test_requests_of_the_last_second_are_counted is new; test_serverqueue and test_docs pass.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -369,6 +369,11 @@
             "Servers at gates that asked for rest.",
             lambda: self._gate_host.resting_servers,
         )
+        add_gauge(
+            "cold_servers",
+            "Servers that are known to be in their cold start.",
+            lambda: self._gate_host.cold_servers,
+        )
         add_gauge(
             "isolated_pools",
             "Pools of which this host reaches no server.",
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -405,6 +405,12 @@
         now = self._clock()
         return sum(until > now for until, _ in self._server_states.values())
 
+    @property
+    def cold_servers(self) -> int:
+        """Number of servers that are known to be cold."""
+        now = self._clock()
+        return sum(until > now for until in self._cold_until.values())
+
     @property
     def served_gates(self) -> int:
         """Number of gates that this host got requests for and still has."""
@@ -473,6 +479,8 @@
     def set_cold(self, server: ServerId, seconds: float) -> None:
         """Treats a server as cold for the given seconds from now on."""
         now = self._clock()
+        if seconds > 0 and not self._is_cold(now, server):
+            self._log_cold_start(now, server, seconds)
         self._cold_until[server] = now + seconds
         for queue in self._queues.values():
             queue.set_cold(now, server, seconds)
@@ -993,6 +1001,18 @@
                 pool, attempt.server, attempt.job.head.route, attempt.counted
             )
 
+    def _log_cold_start(self, now: float, server: ServerId, seconds: float) -> None:
+        sent = sum(
+            queue.count_recent_sends(now, server) for queue in self._queues.values()
+        )
+        logger.info(
+            "Server {} is cold for {:.2f} s; this host sent it {} requests in the last"
+            " second.",
+            server,
+            seconds,
+            sent,
+        )
+
     def is_cold(self, server: ServerId) -> bool:
         """Returns whether a server is in its cold start, as far as is known."""
         return self._is_cold(self._clock(), server)
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -74,6 +74,7 @@
 SILENCE_FACTOR = 2.5  # times the expected service time; the same for slow requests
 ACTIVE_TIME = 1.0  # seconds after a response for which a server counts as active
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
+SEND_WINDOW = 1.0  # seconds over which a cold server tolerates a number of requests
 
 
 @dataclass(slots=True, kw_only=True)
@@ -89,6 +90,7 @@
 
     Attributes:
         cold_rate: Requests per second while the server is cold.
+        sends: Times of the requests of the last second.
         arrivals: Arrival time and expected service time of recent requests that only
             this server may run.
         speed: Measured service times.
@@ -100,6 +102,7 @@
     cold_rate: float
     limits: RequestLimits
     cold_until: float = 0.0
+    sends: deque[float] = field(default_factory=deque)
     closed_at: float = math.inf
     unreachable_until: float = 0.0
     resting_until: float = -math.inf
@@ -183,6 +186,14 @@
         if self.is_cold(now) and self.cold_rate > 0:
             spacing = 1 / (self.cold_rate * COLD_RATE_FACTOR)
             self.next_cold_send = max(now, self.next_cold_send) + spacing
+        self.sends.append(now)
+        self.count_sends(now)
+
+    def count_sends(self, now: float) -> int:
+        """Returns the number of requests that were sent within the last second."""
+        while self.sends and self.sends[0] <= now - SEND_WINDOW:
+            self.sends.popleft()
+        return len(self.sends)
 
 
 class ServerQueue:
@@ -306,6 +317,11 @@
             state.next_cold_send = now
         state.cold_until = now + seconds
 
+    def count_recent_sends(self, now: float, server: ServerId) -> int:
+        """Returns the number of requests that a server got in the last second."""
+        state = self._servers.get(server)
+        return 0 if state is None else state.count_sends(now)
+
     def enqueue(
         self, now: float, request: QueuedRequest, server: ServerId | None
     ) -> Refusal | None:
--- a/tests/test_serverqueue.py
+++ b/tests/test_serverqueue.py
@@ -134,6 +134,18 @@
     assert small in [request_id for _, request_id, _ in gate.started]
 
 
+def test_requests_of_the_last_second_are_counted():
+    """Guards against a log that cannot tell what a cold server got before the news."""
+    gate = SimulatedGate("a")
+    for _ in range(6):
+        gate.add(server="a", deadline=5.0)
+    gate.advance(0.15)
+    assert gate.queue.count_recent_sends(gate.now, "a") == 4
+    gate.advance(1.2)
+    assert gate.queue.count_recent_sends(gate.now, "a") == 0
+    assert gate.queue.count_recent_sends(gate.now, "other") == 0
+
+
 def test_cold_server_is_spared():
     """Guards against overloading a server during its cold start.
 
