Take a server for warm only on evidence

Callers saw nothing. A backend server in its cold start got more requests in one second than it tolerates (FAILBACK; 11 to 22 where 10.7 are allowed), crashed, or was slow for all.

Cause: a host learned of cold starts only from control, and took silence for a warm server: while there was no leader, while the server could not reach control, when a failed server was reachable again, when its failure domain came back, and as the new host of a gate. What one host sent just before the notice was not counted, and nothing bounded how many hosts sent.

A host now takes a server for warm on evidence only: its health response, which says how long it stays cold, or a contact with one process of it that has outlasted a cold start. Evidence ends with the contact, when the server's domain is back, and after 0.5 s without news from control. Until there is evidence, requests are paced as for a cold server but not refused, and the server is asked once one has to wait. A host that is first in the ranking for the gate may send the full rate of a cold server, the second half of it, others nothing. The requests of the last second count when the news arrives.

--- a/src/monsoonlug/backend.py
+++ b/src/monsoonlug/backend.py
@@ -38,6 +38,34 @@
     NO_ANSWER = "no answer"
 
 
+@dataclass(frozen=True, slots=True, eq=False, kw_only=True)
+class Contact:
+    """A time in which at least one connection to a server was open throughout.
+
+    No connection was reset in it, so that the server's process did not end.
+
+    Attributes:
+        since: When it began, in seconds of the client's clock.
+    """
+
+    since: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HealthReport:
+    """What a server said about its cold start; times of the client's clock.
+
+    Attributes:
+        asked_at: When it was asked.
+        cold_until: Until when it is cold; in the past if it is warm.
+        contact: The contact in which it answered.
+    """
+
+    asked_at: float
+    cold_until: float
+    contact: Contact | None
+
+
 def classify_failure(error: MonsoonlugError) -> FailureKind:
     """Returns whether an attempt with this `BackendProtocol` error may have run.
 
@@ -131,6 +159,7 @@
         is_leaving: Whether a response said that the server is shutting down.
         link_delay: Seconds that connecting may take longer, as the link of this host is
             busy.
+        health: What the server last said about its cold start, or None.
     """
 
     slowdown: float = 1.0
@@ -138,6 +167,11 @@
     resting_until: float = -math.inf
     is_leaving: bool = False
     link_delay: float = 0.0
+    health: HealthReport | None = None
+
+    def find_contact(self) -> Contact | None:
+        """Returns the present contact with the server's process, or None."""
+        return None
 
     @abstractmethod
     async def send(
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -71,6 +71,8 @@
 # until the end of the grace period.
 MAX_SEND_TIME = 3.0
 PROBE_INTERVAL = 0.5  # seconds between two probes of a server
+# Seconds without news from control after which notices may have been missed.
+MAX_NEWS_AGE = 1.0
 SILENCE_POLL_INTERVAL = 0.100  # seconds
 DRAIN_POLL_INTERVAL = 0.020  # seconds
 REPORT_POLL_INTERVAL = 0.100  # seconds between two checks for reports on rollouts
@@ -192,6 +194,8 @@
             on_send=lambda: self._silence_timer.wake(
                 self._gate_host.find_silence_due()
             ),
+            is_informed=lambda: self._subscription.get_view_age() < MAX_NEWS_AGE,
+            find_rank=lambda gate: self._finder.find_rank(gate),
         )
         self._failure_detector = FailureDetector(
             clock=read_clock,
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -318,6 +318,14 @@
         """
         return [gate for gate in gates if gate.failure_domain == self._domain]
 
+    def find_rank(self, gate: GateId) -> int:
+        """Returns how many of the live hosts are preferred to this one for a gate."""
+        ranked = self._ranking.rank(gate)
+        for rank, item in enumerate(ranked):
+            if item.host == self._host:
+                return rank
+        return len(ranked)
+
     def is_own_gate(self, gate: GateId) -> bool:
         """Returns whether this host serves a gate of its own failure domain."""
         if gate.failure_domain != self._domain or not self._hosts:
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from monsoonlug.backend import BackendProtocol, ConnectResult
+from monsoonlug.cold_starts import ColdStarts
 from monsoonlug.dispatch import SHUTDOWN_RETRY_AFTER
 from monsoonlug.exceptions import (
     BackendFenced,
@@ -93,6 +94,10 @@
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 FALLBACK_COLD_RATE = 1.0  # requests per second, if the configured rate is invalid
+CHECK_RETRY_DELAY = 0.1  # seconds until a server that did not answer is asked again
+# Shares of the rate of a cold server, by the rank of a host for its gate; others send
+# it nothing. The sum is tolerated, as each host may take those before it for lost.
+COLD_SHARES = (1.0, 0.5)
 
 logger = get_logger("gate")
 
@@ -317,6 +322,8 @@
         sizes: Response sizes of the routes.
         link: Shares the host's link, or None if it is not limited.
         on_send: Called when requests are sent to servers.
+        is_informed: Returns whether this host has recent news from control.
+        find_rank: Returns how many live hosts are preferred to this one for a gate.
     """
 
     def __init__(
@@ -332,8 +339,12 @@
         sizes: ResponseSizes | None = None,
         link: LinkShare | None = None,
         on_send: Callable[[], None] = lambda: None,
+        is_informed: Callable[[], bool] = lambda: True,
+        find_rank: Callable[[GateId], int] = lambda gate: 0,
     ):
         self._on_notice = on_notice
+        self._is_informed = is_informed
+        self._find_rank = find_rank
         self._on_send = on_send
         self._outcomes = VersionOutcomes() if outcomes is None else outcomes
         self._budget = budget or MemoryBudget(limit=DEFAULT_BUDGET_BYTES)
@@ -352,7 +363,10 @@
         self._models: dict[PoolId, ServiceTimeModel] = {}
         self.server_choice = ServerChoice()
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
-        self._cold_until: dict[ServerId, float] = {}
+        self._cold_starts = ColdStarts()
+        self._was_informed = True
+        self._out_of_service: set[ServerId] = set()
+        self._checks: dict[ServerId, asyncio.Task] = {}
         self._request_limits = RequestLimits()
         self._closing_times = closing_times
         self._jobs = JobTable(
@@ -408,8 +422,7 @@
     @property
     def cold_servers(self) -> int:
         """Number of servers that are known to be cold."""
-        now = self._clock()
-        return sum(until > now for until in self._cold_until.values())
+        return self._cold_starts.count(self._clock())
 
     @property
     def served_gates(self) -> int:
@@ -456,6 +469,7 @@
         if self._outcomes.update(view):
             self._adopt_running()
         self._gates = {gate.name: (gate, servers) for gate, servers in gates.items()}
+        self._doubt_returned()
         for name in list(self._queues):
             self._sync_servers(name)
         for server, (record, backend) in list(self._backends.items()):
@@ -467,6 +481,7 @@
                 for queue in self._queues.values():
                     queue.set_rest(server, -math.inf)
             self._request_limits.remove(server)
+            self._cold_starts.doubt(self._clock(), server)
             task = asyncio.create_task(self._close_backend(server, backend))
             self._close_tasks.add(task)
             task.add_done_callback(self._close_tasks.discard)
@@ -481,11 +496,28 @@
         now = self._clock()
         if seconds > 0 and not self._is_cold(now, server):
             self._log_cold_start(now, server, seconds)
-        self._cold_until[server] = now + seconds
-        for queue in self._queues.values():
-            queue.set_cold(now, server, seconds)
+        self._cold_starts.announce(now, server, seconds)
+        self._apply_cold_start(now, server)
         self.process_queues()
 
+    def _apply_cold_start(self, now: float, server: ServerId) -> None:
+        left = self._cold_starts.find_end(server) - now
+        for queue in self._queues.values():
+            queue.set_cold(now, server, max(0.0, left))
+
+    def _doubt_returned(self) -> None:
+        """Doubts servers that are back in service, as they may be cold since."""
+        now = self._clock()
+        view = self._view
+        out = set()
+        for record in view.servers.values():
+            if not view.is_in_service(record):
+                out.add(record.server)
+        for server in self._out_of_service - out:
+            self._cold_starts.doubt(now, server)
+        self._out_of_service = out
+        self._cold_starts.retain(now, view.servers)
+
     def list_server_loads(self) -> list[list]:
         """Returns the reports on servers of this host as rows of `FleetHeartbeat`."""
         now = self._clock()
@@ -564,6 +596,78 @@
         if slowdown is not None:
             queue.record_probe(self._clock(), record.server, slowdown)
         self._apply_server_state(record.server, backend)
+        self._apply_health(record.server, backend)
+
+    # Cold starts.
+
+    def _apply_health(self, server: ServerId, backend: BackendProtocol) -> None:
+        """Acts on what a server said about its cold start."""
+        if backend.health is None:
+            return
+        now = self._clock()
+        left = backend.health.cold_until - now
+        if left > 0 and not self._is_cold(now, server):
+            self._log_cold_start(now, server, left)
+        self._cold_starts.record_report(server, backend.health)
+        self._apply_cold_start(now, server)
+
+    def _update_confirmations(self, now: float, name: str, queue: ServerQueue) -> None:
+        """Informs a queue which of its servers are certain to be warm."""
+        known = self._gates.get(name)
+        if known is None:
+            return
+        gate, records = known
+        pool = self._view.items.find(ItemKind.POOL, gate.pool)
+        if pool is None or not pool.health_path or _get_cold_rate(pool) <= 0:
+            return
+        is_informed = self._is_informed()
+        if is_informed and not self._was_informed:
+            # Notices may have been missed.
+            self._cold_starts.doubt_all(now)
+        self._was_informed = is_informed
+        for record in records:
+            server = record.server
+            existing = self._backends.get(server)
+            is_confirmed = self._cold_starts.is_confirmed(
+                now,
+                server,
+                contact=None if existing is None else existing[1].find_contact(),
+                warm_up=pool.cold_seconds,
+                is_informed=is_informed,
+            )
+            queue.set_confirmed(now, server, is_confirmed)
+            if not is_confirmed or self._is_cold(now, server):
+                rank = self._find_rank(gate)
+                share = COLD_SHARES[rank] if rank < len(COLD_SHARES) else 0.0
+                queue.set_cold_share(server, share)
+
+    def _check_held_up(self, now: float, queue: ServerQueue) -> None:
+        """Asks servers whether they are cold if requests wait only for that."""
+        for server in queue.list_held_up(now):
+            if server in self._checks:
+                continue
+            record = self._view.servers.get(server)
+            pool = record and self._view.items.find(ItemKind.POOL, record.pool)
+            if pool is None:
+                continue
+            task = asyncio.create_task(self._check_cold_start(server, pool))
+            self._checks[server] = task
+            task.add_done_callback(lambda _, server=server: self._end_check(server))
+
+    async def _check_cold_start(self, server: ServerId, pool: PoolItem) -> None:
+        backend = self._get_backend(server)
+        try:
+            await backend.probe(pool.health_path)
+        except MonsoonlugError as error:
+            logger.debug("Server {} does not say if it is cold: {}.", server, error)
+            await asyncio.sleep(CHECK_RETRY_DELAY)
+            return
+        self._apply_server_state(server, backend)
+        self._apply_health(server, backend)
+
+    def _end_check(self, server: ServerId) -> None:
+        del self._checks[server]
+        self.process_queues()
 
     # Handlers of request streams.
 
@@ -590,6 +694,8 @@
     async def stop(self) -> None:
         """Waits for the running requests, then closes the connections to servers."""
         self._reachability.stop()
+        for task in self._checks.values():
+            task.cancel()
         tasks = [attempt.task for attempt in self._running.values()]
         tasks += self._large_responses.tasks
         if tasks:
@@ -601,9 +707,10 @@
         """Sends requests that are due, refuses late ones and schedules the next run."""
         now = self._clock()
         wake = self._admit_large(now)
-        for queue in self._queues.values():
+        for name, queue in self._queues.items():
             if queue.is_idle:
                 continue
+            self._update_confirmations(now, name, queue)
             for request, server in queue.dequeue(now):
                 task = asyncio.create_task(self._run(queue, request, server))
                 self._running[request.request_id] = _Attempt(
@@ -620,6 +727,7 @@
                 )
             for request, refusal in queue.expire(now):
                 request.payload.fail(refusal.build_error())
+            self._check_held_up(now, queue)
             found = queue.find_wake_time(now)
             if found is not None:
                 wake = found if wake is None else min(wake, found)
@@ -752,7 +860,7 @@
             queue.close_server(record.server, self._closing_times.find(record.server))
             rest, _ = self._server_states.get(record.server, (-math.inf, False))
             queue.set_rest(record.server, rest)
-            cold = self._cold_until.get(record.server, now) - now
+            cold = self._cold_starts.find_end(record.server) - now
             if cold > 0:
                 queue.set_cold(now, record.server, cold)
 
@@ -829,6 +937,8 @@
             ) and await self._reachability.has_process_ended(server):
                 error = ServerCrashed()
                 outcome = Outcome.UNREACHED
+            if isinstance(error, ConnectionLost | ServerCrashed):
+                self._cold_starts.doubt(self._clock(), server)
             self._log_failure(job, server, error)
             job.fail(error)
         except Exception:
@@ -1018,7 +1128,7 @@
         return self._is_cold(self._clock(), server)
 
     def _is_cold(self, now: float, server: ServerId) -> bool:
-        return now < self._cold_until.get(server, -math.inf)
+        return now < self._cold_starts.find_end(server)
 
     async def _send_request(self, queue: ServerQueue, attempt: _Attempt) -> None:
         job = attempt.job
--- a/src/monsoonlug/http_backend.py
+++ b/src/monsoonlug/http_backend.py
@@ -23,6 +23,8 @@
     BackendRequest,
     BackendResponse,
     ConnectResult,
+    Contact,
+    HealthReport,
 )
 from monsoonlug.exceptions import (
     BackendFenced,
@@ -38,6 +40,7 @@
     CheckedConnector,
     CheckedResponse,
     ConnectionUse,
+    ContactTracker,
     TrackedHandler,
 )
 from monsoonlug.ids import RequestId, ServerId
@@ -123,8 +126,10 @@
         self._clock = clock
         self._calls: dict[RequestId, _Call] = {}
         self._max_idle = KEEPALIVE_TIMEOUT
+        self._contact_tracker = ContactTracker(clock=clock)
         connector = CheckedConnector(
             may_send=may_send,
+            tracker=self._contact_tracker,
             limit=connections,
             limit_per_host=connections,
             keepalive_timeout=KEEPALIVE_TIMEOUT,
@@ -199,6 +204,7 @@
     async def probe(self, path: str) -> float | None:
         """Requests the health path of the server; see `BackendProtocol.probe`."""
         self._connector.prepare(ConnectionUse(max_idle=self._max_idle))
+        asked_at = self._clock()
         response = None
         try:
             async with asyncio.timeout(PROBE_TIMEOUT):
@@ -207,6 +213,13 @@
                 )
                 self.read_server_state(response)
                 slowdown = self.read_slowdown(response)
+                cold_seconds = self.read_cold_seconds(response)
+                if cold_seconds is not None:
+                    self.health = HealthReport(
+                        asked_at=asked_at,
+                        cold_until=self._clock() + cold_seconds,
+                        contact=self.find_contact(),
+                    )
                 await drain_refusal(response)
         except TimeoutError:
             raise OutcomeUnknown("no response to a probe") from None
@@ -215,6 +228,10 @@
                 response.close()
         return slowdown
 
+    def find_contact(self) -> Contact | None:
+        """Returns the present contact; see `BackendProtocol.find_contact`."""
+        return self._contact_tracker.contact
+
     async def try_connect(self, timeout: float) -> ConnectResult:
         """Opens and closes a connection; see `BackendProtocol.try_connect`."""
         if self._host_and_port is None:
@@ -238,6 +255,10 @@
         """Returns the slowdown that a response reports, or None if it reports none."""
         return None
 
+    def read_cold_seconds(self, response: aiohttp.ClientResponse) -> float | None:
+        """Returns for how many seconds a server is cold, or None if it does not say."""
+        return None
+
     def build_headers(self, request: BackendRequest, remaining: float) -> CIMultiDict:
         """Returns the headers to send.
 
--- a/src/monsoonlug/http_connections.py
+++ b/src/monsoonlug/http_connections.py
@@ -1,5 +1,6 @@
 """Connections to backend servers, checked before each request and at their end."""
 
+import asyncio
 import functools
 import math
 import re
@@ -15,6 +16,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
+from monsoonlug.backend import Contact
 from monsoonlug.exceptions import LeaseOver
 from monsoonlug.streams import set_user_timeout
 
@@ -51,9 +53,42 @@
 _next_use: ContextVar[ConnectionUse] = ContextVar("next_use", default=_ANY_CONNECTION)
 
 
+class ContactTracker:
+    """Tells for how long a server's process is known to have lived.
+
+    Args:
+        clock: Monotonic clock, in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]):
+        self._clock = clock
+        self._open = 0
+        self.contact: Contact | None = None
+
+    def record_open(self) -> None:
+        """Records that a connection was opened."""
+        if not self._open:
+            self.contact = Contact(since=self._clock())
+        self._open += 1
+
+    def record_close(self, *, is_reset: bool) -> None:
+        """Records that a connection was closed, or reset.
+
+        The process may have ended after a reset, although others seem open.
+        """
+        self._open -= 1
+        if not self._open:
+            self.contact = None
+        elif is_reset:
+            self.contact = Contact(since=self._clock())
+
+
 class TrackedHandler(ResponseHandler):
     """Records which requests a connection has carried and whether it was reset.
 
+    Args:
+        tracker: Is told when the connection opens and closes; None if nobody asks.
+
     Attributes:
         is_reset: Whether the connection ended with an error.
         is_idle: Whether it waits for its next request; then no byte may arrive.
@@ -62,8 +97,9 @@
     is_reset = False
     is_idle = False
 
-    def __init__(self, *arguments, **options):
+    def __init__(self, *arguments, tracker: ContactTracker | None = None, **options):
         super().__init__(*arguments, **options)
+        self._tracker = tracker
         self._carried: set[str] = set()
         self._request_count = 0
 
@@ -111,9 +147,17 @@
         self.set_exception(HttpProcessingError(message="responses without end"))
         return True
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Handles the start of the connection."""
+        super().connection_made(transport)
+        if self._tracker is not None:
+            self._tracker.record_open()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handles the end of the connection."""
         self.is_reset = exc is not None
+        if self._tracker is not None:
+            self._tracker.record_close(is_reset=self.is_reset)
         super().connection_lost(exc)
 
 
@@ -126,9 +170,17 @@
     id: the second one would take a late copy of the first response for its own.
     """
 
-    def __init__(self, *, may_send: Callable[[], bool], **options):
+    def __init__(
+        self,
+        *,
+        may_send: Callable[[], bool],
+        tracker: ContactTracker | None = None,
+        **options,
+    ):
         super().__init__(**options)
-        self._factory = functools.partial(TrackedHandler, loop=self._loop)
+        self._factory = functools.partial(
+            TrackedHandler, loop=self._loop, tracker=tracker
+        )
         self._may_send = may_send
 
     def prepare(self, use: ConnectionUse) -> None:
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -12,6 +12,7 @@
 from monsoonlug.http_backend import HttpBackend, drain_refusal, read_retry_after
 from monsoonlug.ingress import CallerHeaders, CallerProtocol
 from monsoonlug.items import PoolItem
+from monsoonlug.platform.documents import MAX_COLD_SECONDS
 
 REQUEST_ID_HEADER = "X-Monsoonlug-Request-Id"
 DEADLINE_HEADER = "X-Monsoonlug-Deadline-Ms"
@@ -22,6 +23,9 @@
 WORKSPACE_HEADER = "X-Monsoonlug-Tenant-Id"
 NOT_RUN_HEADER = "X-Monsoonlug-Not-Executed"
 SERVER_LOAD_HEADER = "X-Monsoonlug-Server-Load"
+# In health responses: name of the server, and milliseconds for which it stays cold.
+SERVER_NAME_HEADER = "X-Monsoonlug-Instance-Id"
+COLD_HEADER = "X-Monsoonlug-Warmup-Ms"
 # Requests per second that the server accepts from all hosts together.
 REQUEST_LIMIT_HEADERS = ("X-Monsoonlug-Server-Limit", "Server-Limit")
 LEAVING_HEADERS = ("X-Monsoonlug-Server-Leaving", "Server-Leaving")
@@ -122,6 +126,18 @@
             return None
         return max(int(fields[3]), MIN_WORK_TIME_PERCENT) / 100
 
+    def read_cold_seconds(self, response: aiohttp.ClientResponse) -> float | None:
+        """Reads the rest of the cold start; see `HttpBackend`.
+
+        A server of another name may have got the address.
+        """
+        if response.headers.get(SERVER_NAME_HEADER, self.server) != self.server:
+            return None
+        text = response.headers.get(COLD_HEADER, "0").strip()
+        if not _DECIMAL_PATTERN.fullmatch(text):
+            return None
+        return min(float(text) / 1000, MAX_COLD_SECONDS)
+
     def get_echoed_id(self, request: BackendRequest) -> str:
         """Returns the caller's id, which the response echoes; see `HttpBackend`."""
         for name, value in request.headers:
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -90,6 +90,10 @@
 
     Attributes:
         cold_rate: Requests per second while the server is cold.
+        is_confirmed: Whether the server is cold only until `cold_until`; else it may be
+            cold and is paced, but expected to be warm.
+        cold_share: Share of the rate of a cold server that this host may send, as
+            others may send to the server as well.
         sends: Times of the requests of the last second.
         arrivals: Arrival time and expected service time of recent requests that only
             this server may run.
@@ -102,6 +106,8 @@
     cold_rate: float
     limits: RequestLimits
     cold_until: float = 0.0
+    is_confirmed: bool = True
+    cold_share: float = 1.0
     sends: deque[float] = field(default_factory=deque)
     closed_at: float = math.inf
     unreachable_until: float = 0.0
@@ -118,10 +124,31 @@
     def is_cold(self, now: float) -> bool:
         return now < self.cold_until
 
+    def is_paced(self, now: float) -> bool:
+        """Returns whether the server may get the rate of a cold server only."""
+        return self.cold_rate > 0 and (not self.is_confirmed or self.is_cold(now))
+
+    @property
+    def cold_spacing(self) -> float:
+        """Seconds between two requests to the server while it is cold."""
+        return 1 / (self.cold_rate * COLD_RATE_FACTOR * self.cold_share)
+
+    @property
+    def is_barred(self) -> bool:
+        """Whether this host sends nothing while the server is or may be cold."""
+        return self.cold_share <= 0
+
+    @property
+    def rest_until(self) -> float:
+        """Time until which the server wants nothing, at least from this host."""
+        if self.is_barred and self.cold_rate > 0:
+            return max(self.resting_until, self.cold_until)
+        return self.resting_until
+
     @property
     def paused_until(self) -> float:
         """Time until which nothing is sent, whatever the server's load."""
-        return max(self.unreachable_until, self.resting_until)
+        return max(self.unreachable_until, self.rest_until)
 
     def may_send(self, now: float) -> bool:
         if len(self.running) >= self.slots or now >= self.closed_at:
@@ -134,7 +161,9 @@
         """Returns from when on the server's rates allow another request."""
         limiter = self.limits.find(self.name)
         at = limiter.next_send if limiter is not None else -math.inf
-        return max(at, self.next_cold_send) if self.is_cold(now) else at
+        if not self.is_paced(now):
+            return at
+        return math.inf if self.is_barred else max(at, self.next_cold_send)
 
     def estimate_send_delay(self, now: float, count: float) -> float:
         """Returns the seconds until the server's rates allow a request.
@@ -144,9 +173,8 @@
             count: Number of requests that are sent before.
         """
         delay = 0.0
-        if self.is_cold(now) and self.cold_rate > 0:
-            interval = 1 / (self.cold_rate * COLD_RATE_FACTOR)
-            delay = self.next_cold_send - now + count * interval
+        if self.is_cold(now) and self.cold_rate > 0 and not self.is_barred:
+            delay = self.next_cold_send - now + count * self.cold_spacing
         limiter = self.limits.find(self.name)
         if limiter is not None:
             delay = max(delay, limiter.estimate_delay(now, count))
@@ -183,11 +211,10 @@
         limiter = self.limits.find(self.name)
         if limiter is not None:
             limiter.record_send(now)
-        if self.is_cold(now) and self.cold_rate > 0:
-            spacing = 1 / (self.cold_rate * COLD_RATE_FACTOR)
-            self.next_cold_send = max(now, self.next_cold_send) + spacing
         self.sends.append(now)
         self.count_sends(now)
+        if self.is_paced(now):
+            self.next_cold_send = max(now, self.next_cold_send) + self.cold_spacing
 
     def count_sends(self, now: float) -> int:
         """Returns the number of requests that were sent within the last second."""
@@ -313,15 +340,45 @@
         state = self._servers.get(server)
         if state is None:
             return
-        if seconds > 0 and not state.is_cold(now):
-            state.next_cold_send = now
+        is_new = seconds > 0 and state.cold_rate > 0 and not state.is_paced(now)
+        if is_new and not state.is_barred:
+            # The server may have been cold when it got the last requests.
+            ahead = state.count_sends(now) * state.cold_spacing - SEND_WINDOW
+            state.next_cold_send = now + max(0.0, ahead)
         state.cold_until = now + seconds
 
+    def set_confirmed(self, now: float, server: ServerId, is_confirmed: bool) -> None:
+        """Sets whether it is certain that a server is not cold beyond `set_cold`."""
+        state = self._servers.get(server)
+        if state is None or state.is_confirmed == is_confirmed:
+            return
+        if not state.is_paced(now):
+            state.next_cold_send = max(now, state.next_cold_send)
+        state.is_confirmed = is_confirmed
+
+    def set_cold_share(self, server: ServerId, share: float) -> None:
+        """Sets which share of the rate of a cold server this host may send, 0 to 1."""
+        state = self._servers.get(server)
+        if state is not None:
+            state.cold_share = share
+
     def count_recent_sends(self, now: float, server: ServerId) -> int:
         """Returns the number of requests that a server got in the last second."""
         state = self._servers.get(server)
         return 0 if state is None else state.count_sends(now)
 
+    def list_held_up(self, now: float) -> list[ServerId]:
+        """Returns servers whose requests wait only because they may be cold."""
+        held_up = []
+        if not self._waiting:
+            return held_up
+        for server in self._servers.values():
+            if server.is_confirmed or server.cold_rate <= 0 or server.is_cold(now):
+                continue
+            if len(server.running) < server.slots and now >= server.paused_until:
+                held_up.append(server.name)
+        return held_up
+
     def enqueue(
         self, now: float, request: QueuedRequest, server: ServerId | None
     ) -> Refusal | None:
@@ -599,7 +656,7 @@
         self, now: float, request: QueuedRequest, server: ServerId
     ) -> bool:
         """Returns whether a server rests until it is too late for a request."""
-        rest = self._servers[server].resting_until - now
+        rest = self._servers[server].rest_until - now
         if rest <= 0:
             return False
         service_time = self._service_model.estimate(request.route, server)
@@ -608,7 +665,7 @@
         return rest > self._find_max_wait(now, request, service_time)
 
     def _refuse_resting(self, now: float, server: ServerId) -> Refusal:
-        return build_rest_refusal(self._servers[server].resting_until - now)
+        return build_rest_refusal(self._servers[server].rest_until - now)
 
     def _record_arrival(
         self, now: float, server: _ServerState, request: QueuedRequest
--- a/tests/cold_server_simulation.py
+++ b/tests/cold_server_simulation.py
@@ -9,7 +9,12 @@
 import itertools
 from random import Random
 
-from monsoonlug.backend import BackendProtocol, BackendResponse, ConnectResult
+from monsoonlug.backend import (
+    BackendProtocol,
+    BackendResponse,
+    ConnectResult,
+    HealthReport,
+)
 from monsoonlug.exceptions import (
     ConnectFailed,
     ConnectionLost,
@@ -19,6 +24,7 @@
 from monsoonlug.exchanges import Peer
 from monsoonlug.fleet import FleetView
 from monsoonlug.gatehost import ClosingTimes, GateHost, list_gates
+from monsoonlug.http_connections import ContactTracker
 from monsoonlug.items import ItemKind
 from monsoonlug.messages import RequestFailed, ResponseHead
 from tests.test_exchanges import HEAD
@@ -121,7 +127,7 @@
         if self.is_open:
             self.is_open = False
             self._backend.connections.remove(self)
-            self._backend.contact += 1
+            self._backend.tracker.record_close(is_reset=True)
             self.is_reset.set()
 
 
@@ -145,12 +151,11 @@
     def __init__(self, server):
         self.server = server
         self.connections = []
-        self.contact = 0
-        self.cold_until = None
+        self.tracker = ContactTracker(clock=now)
         self._calls = {}
 
     def find_contact(self):
-        return self.contact if self.connections else None
+        return self.tracker.contact
 
     async def _connect(self, timeout):
         await asyncio.sleep(NETWORK_DELAY)
@@ -161,8 +166,7 @@
         if not self.server.is_up:
             raise ProcessGone()
         connection = Connection(self)
-        if not self.connections:
-            self.contact += 1
+        self.tracker.record_open()
         self.connections.append(connection)
         self.server.connections.add(connection)
         return connection
@@ -212,11 +216,18 @@
     async def probe(self, path):
         assert path == HEALTH_PATH
 
+        asked_at = now()
+        left = 0.0
+
         async def check():
+            nonlocal left
             self.server.probes += 1
-            self.cold_until = now() + self.server.cold_left
+            left = self.server.cold_left
 
         await self._exchange(check, now() + 0.5)
+        self.health = HealthReport(
+            asked_at=asked_at, cold_until=now() + left, contact=self.find_contact()
+        )
         return 1.0
 
     async def try_connect(self, timeout):
@@ -227,6 +238,7 @@
         except ConnectFailed:
             return ConnectResult.NO_ANSWER
         self.connections.remove(connection)
+        self.tracker.record_close(is_reset=False)
         self.server.connections.discard(connection)
         return ConnectResult.ACCEPTED
 
@@ -268,7 +280,8 @@
     def __init__(self, fleet, number):
         self.number = number
         self.callers = Callers()
-        self.view_age = 0.0
+        self.is_informed = True
+        self.rank = 0
         self.closing_times = ClosingTimes()
         self.view = FleetView()
         pool = dataclasses.replace(
@@ -285,6 +298,8 @@
             closing_times=self.closing_times,
             open_backend=lambda record, pool: SimulatedBackend(fleet.server),
             random=Random(number),
+            is_informed=lambda: self.is_informed,
+            find_rank=lambda gate: self.rank,
         )
         self.update()
         self.gate_host.add_peer(self.callers)
@@ -323,12 +338,12 @@
         uninformed: Numbers of hosts that control cannot reach.
     """
 
-    def __init__(self, *, hosts=2, seed=1):
+    def __init__(self, *, hosts=2, seed=1, rate=40.0):
         self.random = Random(seed)
         self.server = Server()
         self.hosts = [Host(self, number) for number in range(hosts)]
         self.senders = [0]
-        self.rate = 40.0
+        self.rate = rate
         self.has_control = True
         self.uninformed = set()
         self._was_cold = False
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -5,9 +5,14 @@
 """
 
 import asyncio
+from random import Random
 
 import pytest
 
+from monsoonlug.backend import Contact, HealthReport
+from monsoonlug.cold_starts import REPORT_TTL, UNINFORMED_TTL, ColdStarts
+from monsoonlug.gatehost import COLD_SHARES
+from monsoonlug.http_connections import ContactTracker
 from tests.cold_server_simulation import MOST_PER_SECOND, WARM_UP, Fleet
 from tests.virtual_time import run_in_virtual_time
 
@@ -90,3 +95,191 @@
             fleet.senders = [1]
 
         check_spared(move)
+
+
+def test_cold_server_is_spared_by_hosts_that_are_cut_off():
+    """Guards against many hosts that each take all others for lost."""
+
+    async def restart(fleet):
+        fleet.has_control = False
+        fleet.senders = [host.number for host in fleet.hosts]
+        for host in fleet.hosts:
+            host.rank = host.number
+            host.is_informed = False
+        await asyncio.sleep(0.5)
+        fleet.server.crash()
+        await asyncio.sleep(1.0)
+        fleet.server.start()
+
+    check_spared(restart, hosts=6)
+
+
+def test_server_that_turns_cold_while_up_is_spared_by_a_host_without_news():
+    """Guards against evidence of a warm server that outlives the news from control."""
+
+    async def turn_cold(fleet):
+        fleet.has_control = False
+        fleet.hosts[0].is_informed = False
+        await asyncio.sleep(2.0)
+        fleet.server.turn_cold()
+
+    check_spared(turn_cold)
+
+
+def test_warm_server_is_used_fully_without_news():
+    """Guards against requests that are refused because a warm server may be cold."""
+
+    async def lose_control(fleet):
+        fleet.has_control = False
+        for host in fleet.hosts:
+            host.is_informed = False
+        await asyncio.sleep(3.0)
+
+    async def move_and_lose_control(fleet):
+        await lose_control(fleet)
+        fleet.senders = [1]
+        await asyncio.sleep(3.0)
+        for host in fleet.hosts:
+            host.is_informed = True
+
+    async def rest(fleet):
+        await asyncio.sleep(3.0)
+
+    async def rest_longer(fleet):
+        await asyncio.sleep(6.0)
+
+    for seed in SEEDS:
+        usual = play(rest, seed=seed, rate=15.0)
+        fleet = play(lose_control, seed=seed, rate=15.0)
+        assert abs(fleet.answered - usual.answered) <= 1
+        usual = play(rest_longer, seed=seed, rate=15.0)
+        fleet = play(move_and_lose_control, seed=seed, rate=15.0)
+        assert abs(fleet.answered - usual.answered) <= 1
+
+
+class RandomTroubles:
+    """Draws what becomes of the server, of control, and of the hosts of the gate."""
+
+    def __init__(self, fleet, seed):
+        self._fleet = fleet
+        self._random = Random(seed)
+
+    async def run(self):
+        for _ in range(12):
+            draw = self._random.choice(
+                (self._crash, self._take_out, self._move, self._lose_news, self._hear)
+            )
+            await draw()
+            await asyncio.sleep(self._random.choice((0.0, 0.2, 0.9, 2.5)))
+
+    async def _crash(self):
+        server = self._fleet.server
+        server.crash(is_dark=self._random.random() < 0.4)
+        await asyncio.sleep(self._random.choice((0.05, 0.4, 1.2, 3.0)))
+        server.start()
+
+    async def _take_out(self):
+        for host in self._fleet.hosts:
+            host.set_in_service(False)
+        await asyncio.sleep(4.0)
+        self._fleet.server.turn_cold()
+        for host in self._fleet.hosts:
+            host.set_in_service(True)
+
+    async def _move(self):
+        ranks = list(range(len(self._fleet.hosts)))
+        self._random.shuffle(ranks)
+        for host, rank in zip(self._fleet.hosts, ranks, strict=True):
+            host.rank = rank
+        count = self._random.randint(1, len(ranks))
+        self._fleet.senders = self._random.sample(ranks, count)
+        self._fleet.rate = 40.0 / count
+
+    async def _lose_news(self):
+        self._fleet.has_control = self._random.random() < 0.5
+        self._fleet.server.is_heard = self._random.random() < 0.7
+        for host in self._fleet.hosts:
+            host.is_informed = self._fleet.has_control and self._random.random() < 0.6
+            if not host.is_informed:
+                self._fleet.uninformed.add(host.number)
+
+    async def _hear(self):
+        self._fleet.has_control = self._fleet.server.is_heard = True
+        self._fleet.uninformed.clear()
+        for host in self._fleet.hosts:
+            host.is_informed = True
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_cold_server_is_spared_in_random_troubles(seed):
+    """Guards against a way to a cold server that no other test names."""
+
+    async def trouble(fleet):
+        await RandomTroubles(fleet, seed).run()
+
+    fleet = play(trouble, seed=seed, hosts=4)
+    assert fleet.server.count_most() <= MOST_PER_SECOND
+
+
+# Evidence.
+
+
+def test_evidence_ends_with_its_contact():
+    """Guards against a restarted server that counts as warm by an old response."""
+    starts = ColdStarts()
+    contact = Contact(since=0.0)
+
+    def is_confirmed(now, *, contact, is_informed=True):
+        return starts.is_confirmed(
+            now, "s1", contact=contact, warm_up=WARM_UP, is_informed=is_informed
+        )
+
+    assert not is_confirmed(1.0, contact=contact)
+    assert is_confirmed(WARM_UP, contact=contact)
+    assert not is_confirmed(WARM_UP, contact=contact, is_informed=False)
+    starts.record_report(
+        "s1", HealthReport(asked_at=1.0, cold_until=0.9, contact=contact)
+    )
+    assert is_confirmed(1.0 + REPORT_TTL / 2, contact=None)
+    assert not is_confirmed(1.0 + REPORT_TTL, contact=None)
+    assert not is_confirmed(2.0, contact=Contact(since=1.5))
+    assert is_confirmed(2.0, contact=contact)
+    assert is_confirmed(1.4, contact=contact, is_informed=False)
+    assert not is_confirmed(1.0 + UNINFORMED_TTL, contact=contact, is_informed=False)
+    starts.doubt(1.25, "s1")
+    assert not is_confirmed(1.375, contact=contact)
+    assert is_confirmed(1.25 + WARM_UP, contact=contact)
+    starts.doubt_all(9.0)
+    assert not is_confirmed(9.0, contact=contact)
+
+
+def test_contact_lasts_while_a_connection_is_open():
+    """Guards against a contact that goes on over a restart of the server."""
+    tracker = ContactTracker(clock=lambda: 7.0)
+    assert tracker.contact is None
+    tracker.record_open()
+    first = tracker.contact
+    assert first.since == 7.0
+    tracker.record_open()
+    tracker.record_close(is_reset=False)
+    assert tracker.contact is first
+    tracker.record_open()
+    tracker.record_close(is_reset=True)
+    assert tracker.contact is not first
+    tracker.record_close(is_reset=False)
+    assert tracker.contact is None
+
+
+def test_two_hosts_stay_within_what_a_cold_server_tolerates():
+    """Guards against a rate of each host that adds up to too much."""
+
+    async def restart(fleet):
+        fleet.has_control = False
+        fleet.senders = list(range(len(COLD_SHARES)))
+        for host in fleet.hosts:
+            host.rank = host.number
+        fleet.server.crash()
+        await asyncio.sleep(1.0)
+        fleet.server.start()
+
+    check_spared(restart)
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -42,6 +43,7 @@
     slowdown = 1.0
     resting_until = -math.inf
     is_leaving = False
+    health = None
 
     def __init__(self, reported):
         self.reported = reported
@@ -127,3 +129,77 @@
     finally:
         await backend.close()
         server.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "cold_seconds"),
+    [
+        ("200 OK", {"X-Monsoonlug-Instance-Id": "s1"}, 0.0),
+        (
+            "200 OK",
+            {"X-Monsoonlug-Instance-Id": "s1", "X-Monsoonlug-Warmup-Ms": "2500"},
+            2.5,
+        ),
+        ("200 OK", {"X-Monsoonlug-Warmup-Ms": "2500"}, 2.5),
+        (
+            "503 Service Unavailable",
+            {"X-Monsoonlug-Instance-Id": "s1", "X-Monsoonlug-Warmup-Ms": "800.5"},
+            0.8005,
+        ),
+        ("200 OK", {"X-Monsoonlug-Instance-Id": "other"}, None),
+        ("200 OK", {"X-Monsoonlug-Warmup-Ms": "soon"}, None),
+    ],
+)
+async def test_health_response_tells_a_cold_start(status, headers, cold_seconds):
+    """Guards against the word of another server, or one that cannot be read."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        lines = [f"HTTP/1.1 {status}", "Content-Length: 2"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\nok")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    backend = PlatformBackend(server="s1", address=f"127.0.0.1:{port}", connections=2)
+    started_at = time.monotonic()
+    try:
+        await backend.probe("/health")
+        contact = backend.find_contact()
+        assert contact is not None
+        assert (backend.health is None) == (cold_seconds is None)
+        if backend.health is not None:
+            assert backend.health.contact is contact
+            assert backend.health.asked_at >= started_at
+            assert backend.health.cold_until >= started_at + cold_seconds
+            assert backend.health.cold_until <= time.monotonic() + cold_seconds
+    finally:
+        await backend.close()
+        server.close()
+
+
+async def test_contact_ends_with_the_connections_of_a_server():
+    """Guards against a server that restarts in what looks like one contact."""
+    writers = []
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    backend = PlatformBackend(server="s1", address=f"127.0.0.1:{port}", connections=2)
+    try:
+        assert backend.find_contact() is None
+        await backend.probe("/health")
+        first = backend.find_contact()
+        writers[0].transport.abort()
+        async with asyncio.timeout(5.0):
+            while backend.find_contact() is not None:
+                await asyncio.sleep(0.01)
+        await backend.probe("/health")
+        assert backend.find_contact() not in (None, first)
+    finally:
+        await backend.close()
+        server.close()
