Give the bytes that clients leave unread a share of the memory

Clients sent heads over the limit or without end, or empty lines, behind requests that still ran.

Cause: the bounds on clients covered what a process had read. A connection whose earlier requests run is not read, and the kernel kept up to 131,072 bytes for each of up to half of the descriptors, and for 512 more that were not accepted; the platform counts these bytes as memory of the process. On a host of 160 MB with 1,638 descriptors that is 166 MB beside a base of 72 MB and a budget that took all the rest.

The memory above the base is now divided: a quarter for unread bytes at the ports of clients, the rest for the budget, whose bytes count double. Connections of clients get receive buffers of 8,192 bytes (doubled by the kernel), and the connections that are accepted, or wait for it, are as many as fit into the quarter. Streams between processes keep their buffers.

--- a/src/monsoonlug/client_ports.py
+++ b/src/monsoonlug/client_ports.py
@@ -9,7 +9,7 @@
 
 from monsoonlug.client_connections import BoundedAppRunner, BoundedServer, ClientPort
 from monsoonlug.connection_limits import ClientLimits, CloseReason, ConnectionTable
-from monsoonlug.host_limits import HostLimits
+from monsoonlug.host_limits import SMALL_PORT_BACKLOG, HostLimits
 from monsoonlug.links import StreamLimits, limit_receive_buffers
 from monsoonlug.logs import get_logger
 from monsoonlug.lookup import DEFAULT_LIMITS
@@ -21,7 +21,6 @@
 BODY_GRACE = 10.0  # seconds for any body on a port without request deadlines
 # Seconds. Metrics may be read once a minute, on one connection.
 SMALL_PORT_IDLE_TIMEOUT = 75.0
-BACKLOG = 512  # connections that the kernel accepts ahead of the process
 
 logger = get_logger("clients")
 
@@ -162,17 +161,23 @@
         )
 
     async def start_site(
-        self, runner: web.BaseRunner, address: str, *, backlog: int = BACKLOG
+        self, runner: web.BaseRunner, address: str, *, is_small: bool = False
     ) -> web.TCPSite:
         """Listens on an address; the kernel holds few bytes for each connection.
 
+        Args:
+            runner: Serves the connections.
+            address: Address and port.
+            is_small: Whether only a few clients use the port.
+
         Raises:
             OSError: If the address is not available.
         """
         host, port = split_address(address)
+        backlog = SMALL_PORT_BACKLOG if is_small else self.limits.get_backlog()
         site = web.TCPSite(runner, host, port, backlog=backlog)
         await site.start()
-        limit_receive_buffers(site._server, self.limits.get_receive_buffer())
+        limit_receive_buffers(site._server, self.limits.get_client_receive_buffer())
         return site
 
     async def start_metrics(self, address: str) -> None:
@@ -184,7 +189,7 @@
         runner = self.build_small_runner("metrics", self._metrics.build_app())
         await runner.setup()
         self._metrics_runner = runner
-        await self.start_site(runner, address)
+        await self.start_site(runner, address, is_small=True)
 
     async def stop_metrics(self) -> None:
         """Stops serving the metrics."""
--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -357,7 +357,8 @@
         addresses = (settings.listen, settings.readiness)
         for runner, address in zip(self._runners, addresses, strict=True):
             await runner.setup()
-            await self._ports.start_site(runner, address)
+            is_small = address == settings.readiness
+            await self._ports.start_site(runner, address, is_small=is_small)
 
     async def _start_metrics(self) -> None:
         add_gauge = self._metrics.add_gauge
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -9,7 +9,7 @@
     ConnectionTable,
     Phase,
 )
-from monsoonlug.host_limits import HostLimits
+from monsoonlug.host_limits import BASE_MEMORY_BYTES, SMALL_PORT_BACKLOG, HostLimits
 
 LIMITS = ClientLimits(
     head_bytes=4_096,
@@ -210,6 +210,25 @@
     assert 47 * 1_048_576 + 2 * limits.get_budget_bytes() <= 160 * 1_048_576
 
 
+@pytest.mark.parametrize(
+    ("megabytes", "descriptors"),
+    [(160, 1_638), (200, 4_100), (296, 4_096), (300, 4_100), (440, 10_250)],
+)
+def test_unread_bytes_of_all_client_ports_fit_into_memory(megabytes, descriptors):
+    """Guards against a crowd that fills the kernel's buffers of every connection."""
+    memory = megabytes * 1_048_576
+    limits = HostLimits(memory_bytes=memory, descriptors=descriptors)
+    small = limits.get_small_port_connections() + SMALL_PORT_BACKLOG
+    connections = limits.get_client_connections() + limits.get_backlog() + 2 * small
+    # The kernel doubles the size of a buffer.
+    unread = connections * 2 * limits.get_client_receive_buffer()
+    held = 2 * limits.get_budget_bytes()
+    assert BASE_MEMORY_BYTES + unread + held <= memory
+    # A busy entry has some hundred connections of callers.
+    assert limits.get_client_connections() >= 500
+    assert limits.get_backlog() >= 300
+
+
 def test_settings_replace_derived_limits():
     """Guards against settings without effect."""
     limits = HostLimits(
