--- a/src/monsoonlug/cold_starts.py
+++ b/src/monsoonlug/cold_starts.py
@@ -3,7 +3,8 @@
 A server counts as warm only on evidence: its own health response, or a contact with one
 process of it that has lasted longer than a cold start. The evidence ends with that
 contact. Without it, the host sends at the rate of a cold server and asks the server.
-Silence proves nothing, as a server may restart while no host hears from control.
+Silence proves nothing, as a server may restart while no host hears from control. A
+refused connection proves that a process ended, so that the next one starts cold.
 """
 
 import math
@@ -26,18 +27,22 @@
 
     Attributes:
         announced_until: End of the cold start that control announced.
+        presumed_until: End of the cold start of a process that was started after
+            another one had ended.
+        has_ended: Whether a process ended and there was no contact since.
         report: The last health response.
         doubted_at: When the server may last have become cold without a new contact.
     """
 
     announced_until: float = -math.inf
+    presumed_until: float = -math.inf
+    has_ended: bool = False
     report: HealthReport | None = None
     doubted_at: float = -math.inf
 
     def find_end(self) -> float:
-        if self.report is None:
-            return self.announced_until
-        return max(self.announced_until, self.report.cold_until)
+        until = max(self.announced_until, self.presumed_until)
+        return until if self.report is None else max(until, self.report.cold_until)
 
 
 class ColdStarts:
@@ -52,8 +57,39 @@
         self._get(server).announced_until = now + seconds
 
     def record_report(self, server: ServerId, report: HealthReport) -> None:
-        """Records a health response of a server."""
-        self._get(server).report = report
+        """Records a health response of a server.
+
+        A response that names a cold start is more exact than a presumption. One that
+        names none does not disprove it, as not all servers tell.
+        """
+        known = self._get(server)
+        known.report = report
+        if report.cold_until > report.asked_at:
+            known.presumed_until = -math.inf
+
+    def record_end(self, server: ServerId) -> None:
+        """Records that the process of a server has ended."""
+        self._get(server).has_ended = True
+
+    def presume(
+        self, server: ServerId, contact: Contact | None, warm_up: float
+    ) -> bool:
+        """Takes a process that was started since the last one ended for cold.
+
+        Args:
+            server: The server.
+            contact: The present contact with its process, or None.
+            warm_up: Seconds that a cold start takes.
+
+        Returns:
+            Whether this changed what `find_end` returns.
+        """
+        known = self._servers.get(server)
+        if known is None or not known.has_ended or contact is None:
+            return False
+        known.has_ended = False
+        known.presumed_until = contact.since + warm_up
+        return True
 
     def doubt(self, now: float, server: ServerId) -> None:
         """Discards the evidence that a server is warm."""
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -628,10 +628,13 @@
         for record in records:
             server = record.server
             existing = self._backends.get(server)
+            contact = None if existing is None else existing[1].find_contact()
+            if self._cold_starts.presume(server, contact, pool.cold_seconds):
+                self._apply_cold_start(now, server)
             is_confirmed = self._cold_starts.is_confirmed(
                 now,
                 server,
-                contact=None if existing is None else existing[1].find_contact(),
+                contact=contact,
                 warm_up=pool.cold_seconds,
                 is_informed=is_informed,
             )
@@ -917,6 +920,8 @@
             outcome = Outcome.ANSWERED
         except (ConnectFailed, ProcessGone) as error:
             outcome = Outcome.UNREACHED
+            if isinstance(error, ProcessGone):
+                self._cold_starts.record_end(server)
             self._log_failure(job, server, error)
             job.fail(error)
         except (BackendRefused, BackendFenced) as error:
@@ -1012,6 +1017,8 @@
             queue.mark_unreachable(self._clock(), server)
         if result is ConnectResult.NO_ANSWER:
             self._give_up_requests(server)
+        if result is ConnectResult.REFUSED:
+            self._cold_starts.record_end(server)
         self.process_queues()
 
     def _handle_reachable(self, server: ServerId) -> None:
--- a/tests/cold_server_simulation.py
+++ b/tests/cold_server_simulation.py
@@ -53,6 +53,7 @@
         arrivals: Times at which requests arrived while it was cold.
         probes: Number of health checks.
         is_heard: Whether its heartbeats reach control.
+        tells_cold_starts: Whether its health responses name a cold start.
     """
 
     name = "s1"
@@ -61,6 +62,7 @@
         self.is_up = True
         self.is_dark = False
         self.is_heard = True
+        self.tells_cold_starts = True
         self.cold_until = 0.0
         self.arrivals = []
         self.probes = 0
@@ -222,7 +224,7 @@
         async def check():
             nonlocal left
             self.server.probes += 1
-            left = self.server.cold_left
+            left = self.server.cold_left if self.server.tells_cold_starts else 0.0
 
         await self._exchange(check, now() + 0.5)
         self.health = HealthReport(
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -283,3 +283,36 @@
         fleet.server.start()
 
     check_spared(restart)
+
+
+def test_restarted_server_that_does_not_tell_is_spared():
+    """Guards against a health response without a cold start that disproves one."""
+
+    async def restart(fleet):
+        fleet.has_control = False
+        fleet.server.tells_cold_starts = False
+        fleet.server.crash()
+        await asyncio.sleep(1.0)
+        fleet.server.start()
+
+    check_spared(restart)
+
+
+def test_named_cold_start_replaces_a_presumed_one():
+    """Guards against a server that is spared for longer than it says."""
+    starts = ColdStarts()
+    contact = Contact(since=5.0)
+    assert not starts.presume("s1", contact, WARM_UP)
+    starts.record_end("s1")
+    assert not starts.presume("s1", None, WARM_UP)
+    assert starts.presume("s1", contact, WARM_UP)
+    assert not starts.presume("s1", contact, WARM_UP)
+    assert starts.find_end("s1") == 5.0 + WARM_UP
+    starts.record_report(
+        "s1", HealthReport(asked_at=5.5, cold_until=5.4, contact=contact)
+    )
+    assert starts.find_end("s1") == 5.0 + WARM_UP
+    starts.record_report(
+        "s1", HealthReport(asked_at=5.5, cold_until=6.0, contact=contact)
+    )
+    assert starts.find_end("s1") == 6.0
