End the evidence of warm servers with silence, and bound what takeovers send

Evidence now needs a response of the last second, and the server's own name. What was sent within the last second is kept for each server of the host, over all gates, and bounds the next sends by a sliding window of one second. Refused connections presume a cold start from the last refusal on, and so do reports of other hosts while no health response has ever named a cold start. A server that does not answer a check counts as cold for a second, so that requests for it are refused at once where this host may not send.

--- a/src/monsoonlug/fleet_entry.py
+++ b/src/monsoonlug/fleet_entry.py
@@ -72,7 +72,7 @@
 MAX_SEND_TIME = 3.0
 PROBE_INTERVAL = 0.5  # seconds between two probes of a server
 # Seconds without news from control after which notices may have been missed.
-MAX_NEWS_AGE = 1.0
+MAX_NEWS_AGE = 0.7
 SILENCE_POLL_INTERVAL = 0.100  # seconds
 DRAIN_POLL_INTERVAL = 0.020  # seconds
 REPORT_POLL_INTERVAL = 0.100  # seconds between two checks for reports on rollouts
@@ -550,9 +550,11 @@
                 return
             case GateReport():
                 check_gate_report(message)
+                lost = self._finder.list_unreachable(host) | set(message.unreachable)
                 self._finder.update_reachability(
                     host, message.isolated_pools, message.unreachable
                 )
+                self._gate_host.record_losses(lost)
                 for server, born in message.leaving:
                     self._gate_host.record_leaving(ServerId(server), born)
             case _:
--- a/src/monsoonlug/fleet_targets.py
+++ b/src/monsoonlug/fleet_targets.py
@@ -183,6 +183,10 @@
         self._unreachable[host] = frozenset(unreachable)
         self._served_elsewhere.setdefault(host, set()).intersection_update(unreachable)
 
+    def list_unreachable(self, host: HostId) -> frozenset[ServerId]:
+        """Returns the servers that a host cannot connect to, as it reports."""
+        return self._unreachable.get(host, frozenset())
+
     def remove_reachability(self, host: HostId) -> None:
         """Forgets the reports of a host whose stream was lost."""
         self._isolated_pools.pop(host, None)
--- a/src/monsoonlug/gatehost.py
+++ b/src/monsoonlug/gatehost.py
@@ -16,8 +16,8 @@
 
 import xxhash
 
-from monsoonlug.backend import BackendProtocol, ConnectResult
-from monsoonlug.cold_starts import ColdStarts
+from monsoonlug.backend import BackendProtocol, ConnectResult, Contact
+from monsoonlug.cold_starts import ColdPace, ColdStarts
 from monsoonlug.dispatch import SHUTDOWN_RETRY_AFTER
 from monsoonlug.exceptions import (
     BackendFenced,
@@ -94,7 +94,10 @@
 PROBE_COUNT = 3  # probes after which the speed of an idle server is known
 STOP_TIMEOUT = 10.0  # seconds; longer than the shutdown of a host may take
 FALLBACK_COLD_RATE = 1.0  # requests per second, if the configured rate is invalid
-CHECK_RETRY_DELAY = 0.1  # seconds until a server that did not answer is asked again
+CHECK_RETRY_DELAY = 0.2  # seconds until a server that did not answer is asked again
+# Seconds for which it counts as cold then; longer than until the next answer is due.
+CHECK_SILENCE_TIME = 1.0
+CHECK_ATTEMPTS = 5
 # Shares of the rate of a cold server, by the rank of a host for its gate; others send
 # it nothing. The sum is tolerated, as each host may take those before it for lost.
 COLD_SHARES = (1.0, 0.5)
@@ -364,6 +367,7 @@
         self.server_choice = ServerChoice()
         self._backends: dict[ServerId, tuple[FleetServer, BackendProtocol]] = {}
         self._cold_starts = ColdStarts()
+        self._paces: dict[ServerId, ColdPace] = {}
         self._was_informed = True
         self._out_of_service: set[ServerId] = set()
         self._checks: dict[ServerId, asyncio.Task] = {}
@@ -517,6 +521,8 @@
             self._cold_starts.doubt(now, server)
         self._out_of_service = out
         self._cold_starts.retain(now, view.servers)
+        for server in [name for name in self._paces if name not in view.servers]:
+            del self._paces[server]
 
     def list_server_loads(self) -> list[list]:
         """Returns the reports on servers of this host as rows of `FleetHeartbeat`."""
@@ -573,6 +579,7 @@
         Args:
             is_own: Whether this host serves a gate.
         """
+        self._update_news(self._clock())
         probes = []
         for gate, servers in list(self._gates.values()):
             if not is_own(gate):
@@ -600,6 +607,45 @@
 
     # Cold starts.
 
+    def record_losses(self, servers: Iterable[ServerId]) -> None:
+        """Records that another host cannot reach some servers, or could not until now.
+
+        A server that this host is in contact with has not ended.
+        """
+        now = self._clock()
+        for server in servers:
+            pool = self._find_pool(server)
+            if pool is None or self._find_contact(server) is not None:
+                continue
+            self._cold_starts.record_loss(now, server, pool.cold_seconds)
+            self._apply_cold_start(now, server)
+
+    def _record_end(self, server: ServerId) -> None:
+        pool = self._find_pool(server)
+        if pool is not None:
+            now = self._clock()
+            self._cold_starts.record_end(now, server, pool.cold_seconds)
+            self._apply_cold_start(now, server)
+
+    def _find_pool(self, server: ServerId) -> PoolItem | None:
+        record = self._view.servers.get(server)
+        if record is None:
+            return None
+        return self._view.items.find(ItemKind.POOL, record.pool)
+
+    def _find_contact(self, server: ServerId) -> Contact | None:
+        existing = self._backends.get(server)
+        return None if existing is None else existing[1].find_contact()
+
+    def _update_news(self, now: float) -> bool:
+        """Returns whether there is recent news from control."""
+        is_informed = self._is_informed()
+        if is_informed and not self._was_informed:
+            # Notices may have been missed.
+            self._cold_starts.doubt_all(now)
+        self._was_informed = is_informed
+        return is_informed
+
     def _apply_health(self, server: ServerId, backend: BackendProtocol) -> None:
         """Acts on what a server said about its cold start."""
         if backend.health is None:
@@ -620,37 +666,29 @@
         pool = self._view.items.find(ItemKind.POOL, gate.pool)
         if pool is None or not pool.health_path or _get_cold_rate(pool) <= 0:
             return
-        is_informed = self._is_informed()
-        if is_informed and not self._was_informed:
-            # Notices may have been missed.
-            self._cold_starts.doubt_all(now)
-        self._was_informed = is_informed
+        is_informed = self._update_news(now)
         for record in records:
             server = record.server
-            existing = self._backends.get(server)
-            contact = None if existing is None else existing[1].find_contact()
-            if self._cold_starts.presume(server, contact, pool.cold_seconds):
-                self._apply_cold_start(now, server)
             is_confirmed = self._cold_starts.is_confirmed(
                 now,
                 server,
-                contact=contact,
+                contact=self._find_contact(server),
                 warm_up=pool.cold_seconds,
                 is_informed=is_informed,
             )
-            queue.set_confirmed(now, server, is_confirmed)
+            share = 1.0
             if not is_confirmed or self._is_cold(now, server):
                 rank = self._find_rank(gate)
                 share = COLD_SHARES[rank] if rank < len(COLD_SHARES) else 0.0
-                queue.set_cold_share(server, share)
+            queue.set_cold_share(server, share)
+            queue.set_confirmed(now, server, is_confirmed)
 
     def _check_held_up(self, now: float, queue: ServerQueue) -> None:
         """Asks servers whether they are cold if requests wait only for that."""
         for server in queue.list_held_up(now):
             if server in self._checks:
                 continue
-            record = self._view.servers.get(server)
-            pool = record and self._view.items.find(ItemKind.POOL, record.pool)
+            pool = self._find_pool(server)
             if pool is None:
                 continue
             task = asyncio.create_task(self._check_cold_start(server, pool))
@@ -658,15 +696,31 @@
             task.add_done_callback(lambda _, server=server: self._end_check(server))
 
     async def _check_cold_start(self, server: ServerId, pool: PoolItem) -> None:
-        backend = self._get_backend(server)
+        for _ in range(CHECK_ATTEMPTS):
+            if await self._ask_server(server, pool):
+                return
+            # Requests that this would make late are refused now.
+            now = self._clock()
+            self._cold_starts.record_silence(now, server, CHECK_SILENCE_TIME)
+            self._apply_cold_start(now, server)
+            self.process_queues()
+            await asyncio.sleep(CHECK_RETRY_DELAY)
+
+    async def _ask_server(self, server: ServerId, pool: PoolItem) -> bool:
+        """Asks a server for its cold start; returns whether it told."""
+        asked_at = self._clock()
         try:
+            backend = self._get_backend(server)
             await backend.probe(pool.health_path)
         except MonsoonlugError as error:
             logger.debug("Server {} does not say if it is cold: {}.", server, error)
-            await asyncio.sleep(CHECK_RETRY_DELAY)
-            return
+            return False
         self._apply_server_state(server, backend)
         self._apply_health(server, backend)
+        if backend.health is not None and backend.health.asked_at >= asked_at:
+            return True
+        logger.debug("Server {} does not say if it is cold.", server)
+        return False
 
     def _end_check(self, server: ServerId) -> None:
         del self._checks[server]
@@ -840,6 +894,7 @@
             limits=self._request_limits,
             choice=self.server_choice,
             counts=self.overload_counts,
+            paces=self._paces,
         )
         self._sync_servers(name)
         logger.info("Started to serve gate {}.", name)
@@ -921,7 +976,7 @@
         except (ConnectFailed, ProcessGone) as error:
             outcome = Outcome.UNREACHED
             if isinstance(error, ProcessGone):
-                self._cold_starts.record_end(server)
+                self._record_end(server)
             self._log_failure(job, server, error)
             job.fail(error)
         except (BackendRefused, BackendFenced) as error:
@@ -1017,8 +1072,9 @@
             queue.mark_unreachable(self._clock(), server)
         if result is ConnectResult.NO_ANSWER:
             self._give_up_requests(server)
+            self._cold_starts.doubt(self._clock(), server)
         if result is ConnectResult.REFUSED:
-            self._cold_starts.record_end(server)
+            self._record_end(server)
         self.process_queues()
 
     def _handle_reachable(self, server: ServerId) -> None:
@@ -1165,6 +1221,7 @@
         if existing is None:
             return
         self._apply_server_state(server, existing[1])
+        self._cold_starts.record_response(self._clock(), server)
         self._reachability.record_contact(existing[0].pool)
         limit = existing[1].request_limit
         if self._request_limits.record_response(self._clock(), server, limit):
--- a/src/monsoonlug/platform/headers.py
+++ b/src/monsoonlug/platform/headers.py
@@ -129,9 +129,10 @@
     def read_cold_seconds(self, response: aiohttp.ClientResponse) -> float | None:
         """Reads the rest of the cold start; see `HttpBackend`.
 
-        A server of another name may have got the address.
+        A server of another name may have got the address, and a response without a
+        name is a rejection of the request.
         """
-        if response.headers.get(SERVER_NAME_HEADER, self.server) != self.server:
+        if response.headers.get(SERVER_NAME_HEADER) != self.server:
             return None
         text = response.headers.get(COLD_HEADER, "0").strip()
         if not _DECIMAL_PATTERN.fullmatch(text):
--- a/src/monsoonlug/serverqueue.py
+++ b/src/monsoonlug/serverqueue.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
+from monsoonlug.cold_starts import ColdPace
 from monsoonlug.exceptions import (
     ConnectFailed,
     DeadlineExceeded,
@@ -74,7 +75,6 @@
 SILENCE_FACTOR = 2.5  # times the expected service time; the same for slow requests
 ACTIVE_TIME = 1.0  # seconds after a response for which a server counts as active
 UTILIZATION_WINDOW = 1.0  # seconds over which utilization is measured
-SEND_WINDOW = 1.0  # seconds over which a cold server tolerates a number of requests
 
 
 @dataclass(slots=True, kw_only=True)
@@ -94,7 +94,7 @@
             cold and is paced, but expected to be warm.
         cold_share: Share of the rate of a cold server that this host may send, as
             others may send to the server as well.
-        sends: Times of the requests of the last second.
+        pace: What this host sent to the server lately.
         arrivals: Arrival time and expected service time of recent requests that only
             this server may run.
         speed: Measured service times.
@@ -108,13 +108,12 @@
     cold_until: float = 0.0
     is_confirmed: bool = True
     cold_share: float = 1.0
-    sends: deque[float] = field(default_factory=deque)
+    pace: ColdPace = field(default_factory=ColdPace)
     closed_at: float = math.inf
     unreachable_until: float = 0.0
     resting_until: float = -math.inf
     slowdown: float = 1.0
     slowdown_reported_at: float = -math.inf
-    next_cold_send: float = 0.0
     last_response_at: float = -math.inf
     running: dict[RequestId, _RunningRequest] = field(default_factory=dict)
     queues: list[RequestQueue]
@@ -163,7 +162,7 @@
         at = limiter.next_send if limiter is not None else -math.inf
         if not self.is_paced(now):
             return at
-        return math.inf if self.is_barred else max(at, self.next_cold_send)
+        return math.inf if self.is_barred else max(at, self.pace.next_send)
 
     def estimate_send_delay(self, now: float, count: float) -> float:
         """Returns the seconds until the server's rates allow a request.
@@ -174,7 +173,7 @@
         """
         delay = 0.0
         if self.is_cold(now) and self.cold_rate > 0 and not self.is_barred:
-            delay = self.next_cold_send - now + count * self.cold_spacing
+            delay = self.pace.next_send - now + count * self.cold_spacing
         limiter = self.limits.find(self.name)
         if limiter is not None:
             delay = max(delay, limiter.estimate_delay(now, count))
@@ -211,16 +210,16 @@
         limiter = self.limits.find(self.name)
         if limiter is not None:
             limiter.record_send(now)
-        self.sends.append(now)
-        self.count_sends(now)
-        if self.is_paced(now):
-            self.next_cold_send = max(now, self.next_cold_send) + self.cold_spacing
+        self.pace.record_send(now)
+        if self.is_paced(now) and not self.is_barred:
+            next_send = max(now, self.pace.next_send)
+            self.pace.next_send = next_send + self.cold_spacing
 
-    def count_sends(self, now: float) -> int:
-        """Returns the number of requests that were sent within the last second."""
-        while self.sends and self.sends[0] <= now - SEND_WINDOW:
-            self.sends.popleft()
-        return len(self.sends)
+    def begin_pacing(self, now: float) -> None:
+        """Starts to send at the rate of a cold server."""
+        if self.cold_rate > 0:
+            rate = self.cold_rate * COLD_RATE_FACTOR * self.cold_share
+            self.pace.begin(now, rate)
 
 
 class ServerQueue:
@@ -237,6 +236,8 @@
         choice: Chooses the servers of shared requests; that of the host if it has
             several queues, as it counts its choices.
         counts: What the order and the rejections add to; shared by the host's queues.
+        paces: What the host sent to each server lately; that of the host if it has
+            several queues, as a server may move between them.
     """
 
     def __init__(
@@ -246,7 +247,9 @@
         limits: RequestLimits | None = None,
         choice: ServerChoice | None = None,
         counts: OverloadCounts | None = None,
+        paces: dict[ServerId, ColdPace] | None = None,
     ):
+        self._paces = paces if paces is not None else {}
         self._service_model = model
         self._choice = choice if choice is not None else ServerChoice()
         self._mean_slowdown = MeanSlowdown()
@@ -295,6 +298,7 @@
                 slots=slots,
                 cold_rate=cold_rate,
                 limits=self._limits,
+                pace=self._paces.setdefault(server, ColdPace()),
                 queues=self._order.build_queues(),
             )
             self._update_order()
@@ -340,11 +344,8 @@
         state = self._servers.get(server)
         if state is None:
             return
-        is_new = seconds > 0 and state.cold_rate > 0 and not state.is_paced(now)
-        if is_new and not state.is_barred:
-            # The server may have been cold when it got the last requests.
-            ahead = state.count_sends(now) * state.cold_spacing - SEND_WINDOW
-            state.next_cold_send = now + max(0.0, ahead)
+        if seconds > 0 and not state.is_paced(now):
+            state.begin_pacing(now)
         state.cold_until = now + seconds
 
     def set_confirmed(self, now: float, server: ServerId, is_confirmed: bool) -> None:
@@ -353,7 +354,7 @@
         if state is None or state.is_confirmed == is_confirmed:
             return
         if not state.is_paced(now):
-            state.next_cold_send = max(now, state.next_cold_send)
+            state.begin_pacing(now)
         state.is_confirmed = is_confirmed
 
     def set_cold_share(self, server: ServerId, share: float) -> None:
@@ -365,7 +366,7 @@
     def count_recent_sends(self, now: float, server: ServerId) -> int:
         """Returns the number of requests that a server got in the last second."""
         state = self._servers.get(server)
-        return 0 if state is None else state.count_sends(now)
+        return 0 if state is None else state.pace.count(now)
 
     def list_held_up(self, now: float) -> list[ServerId]:
         """Returns servers whose requests wait only because they may be cold."""
--- a/tests/cold_server_simulation.py
+++ b/tests/cold_server_simulation.py
@@ -54,6 +54,7 @@
         probes: Number of health checks.
         is_heard: Whether its heartbeats reach control.
         tells_cold_starts: Whether its health responses name a cold start.
+        answers_health: Whether it responds to health checks.
     """
 
     name = "s1"
@@ -63,6 +64,7 @@
         self.is_dark = False
         self.is_heard = True
         self.tells_cold_starts = True
+        self.answers_health = True
         self.cold_until = 0.0
         self.arrivals = []
         self.probes = 0
@@ -223,6 +225,8 @@
 
         async def check():
             nonlocal left
+            if not self.server.answers_health:
+                await asyncio.sleep(3_600)
             self.server.probes += 1
             left = self.server.cold_left if self.server.tells_cold_starts else 0.0
 
@@ -268,12 +272,17 @@
     def __init__(self):
         self.answered = 0
         self.failed = []
+        self.waits = []
+        self.sent_at = {}
 
     def send(self, message):
         if isinstance(message, ResponseHead):
             self.answered += 1
         elif isinstance(message, RequestFailed):
             self.failed.append(message.code)
+        else:
+            return
+        self.waits.append(now() - self.sent_at[message.stream])
 
 
 class Host:
@@ -327,6 +336,7 @@
             remaining=DEADLINE,
             objective=DEADLINE / 2,
         )
+        self.callers.sent_at[stream] = now()
         self.gate_host.receive(self.callers, head)
 
 
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -10,8 +10,14 @@
 import pytest
 
 from monsoonlug.backend import Contact, HealthReport
-from monsoonlug.cold_starts import REPORT_TTL, UNINFORMED_TTL, ColdStarts
-from monsoonlug.gatehost import COLD_SHARES
+from monsoonlug.cold_starts import (
+    REPORT_TTL,
+    SILENCE_TTL,
+    START_MARGIN,
+    UNINFORMED_TTL,
+    ColdStarts,
+)
+from monsoonlug.gatehost import COLD_SHARES, GateId
 from monsoonlug.http_connections import ContactTracker
 from tests.cold_server_simulation import MOST_PER_SECOND, WARM_UP, Fleet
 from tests.virtual_time import run_in_virtual_time
@@ -230,6 +236,7 @@
     contact = Contact(since=0.0)
 
     def is_confirmed(now, *, contact, is_informed=True):
+        starts.record_response(now, "s1")
         return starts.is_confirmed(
             now, "s1", contact=contact, warm_up=WARM_UP, is_informed=is_informed
         )
@@ -302,17 +309,179 @@
     """Guards against a server that is spared for longer than it says."""
     starts = ColdStarts()
     contact = Contact(since=5.0)
-    assert not starts.presume("s1", contact, WARM_UP)
-    starts.record_end("s1")
-    assert not starts.presume("s1", None, WARM_UP)
-    assert starts.presume("s1", contact, WARM_UP)
-    assert not starts.presume("s1", contact, WARM_UP)
-    assert starts.find_end("s1") == 5.0 + WARM_UP
+    starts.record_end(4.0, "s1", WARM_UP)
+    starts.record_end(5.0, "s1", WARM_UP)
+    presumed = starts.find_end("s1")
+    assert presumed == 5.0 + START_MARGIN + WARM_UP
     starts.record_report(
         "s1", HealthReport(asked_at=5.5, cold_until=5.4, contact=contact)
     )
-    assert starts.find_end("s1") == 5.0 + WARM_UP
+    assert starts.find_end("s1") == presumed
     starts.record_report(
-        "s1", HealthReport(asked_at=5.5, cold_until=6.0, contact=contact)
+        "s1", HealthReport(asked_at=5.6, cold_until=6.0, contact=contact)
     )
     assert starts.find_end("s1") == 6.0
+    starts.record_report(
+        "s1", HealthReport(asked_at=5.5, cold_until=9.0, contact=contact)
+    )
+    assert starts.find_end("s1") == 6.0
+
+
+def test_next_host_spares_a_server_that_does_not_tell():
+    """Guards against a new host of a gate that trusts a health response too much."""
+
+    async def restart(fleet):
+        fleet.has_control = False
+        fleet.server.tells_cold_starts = False
+        fleet.server.crash()
+        await asyncio.sleep(1.0)
+        fleet.hosts[1].gate_host.record_losses([fleet.server.name])
+        fleet.server.start()
+        fleet.senders = [1]
+
+    check_spared(restart)
+
+
+def test_losses_at_other_hosts_do_not_slow_warm_servers():
+    """Guards against a host that spares servers which only others cannot reach."""
+
+    async def lose(fleet):
+        fleet.hosts[0].gate_host.record_losses([fleet.server.name])
+        await asyncio.sleep(3.0)
+
+    async def rest(fleet):
+        await asyncio.sleep(3.0)
+
+    for seed in SEEDS:
+        usual = play(rest, seed=seed, rate=15.0)
+        assert play(lose, seed=seed, rate=15.0).answered == usual.answered
+
+
+def test_named_cold_starts_make_other_responses_count():
+    """Guards against a warm server that is spared although servers tell."""
+    starts = ColdStarts()
+    starts.record_report("s2", HealthReport(asked_at=1.0, cold_until=2.0, contact=None))
+    starts.record_loss(5.0, "s1", WARM_UP)
+    assert starts.find_end("s1") < 5.0
+    starts.record_end(5.0, "s1", WARM_UP)
+    assert starts.find_end("s1") > 5.0 + WARM_UP
+    starts.record_report(
+        "s1", HealthReport(asked_at=5.5, cold_until=5.4, contact=Contact(since=5.0))
+    )
+    assert starts.find_end("s1") == 5.4
+
+
+def test_silent_server_loses_its_evidence():
+    """Guards against connections that stay open after a host lost power."""
+    starts = ColdStarts()
+    contact = Contact(since=0.0)
+    report = HealthReport(asked_at=1.0, cold_until=0.9, contact=contact)
+    starts.record_report("s1", report)
+
+    def is_confirmed(now):
+        return starts.is_confirmed(
+            now, "s1", contact=contact, warm_up=WARM_UP, is_informed=True
+        )
+
+    assert is_confirmed(1.0 + SILENCE_TTL)
+    assert not is_confirmed(1.5 + SILENCE_TTL)
+    starts.record_response(2.0, "s1")
+    assert is_confirmed(2.0 + SILENCE_TTL)
+    assert not is_confirmed(9.0)
+
+
+def test_idle_connections_do_not_hide_a_restart():
+    """Guards against a server that restarts while a host sends it nothing."""
+
+    async def restart(fleet):
+        fleet.senders = []
+        await asyncio.sleep(1.5)
+        fleet.server.is_heard = False
+        fleet.server.crash(is_dark=True)
+        await asyncio.sleep(1.0)
+        fleet.server.start()
+        fleet.senders = [0]
+
+    check_spared(restart)
+
+
+def test_news_that_were_missed_without_requests_are_asked_for():
+    """Guards against evidence that outlives an outage of control in a calm time."""
+
+    async def miss(fleet):
+        fleet.senders = []
+        fleet.has_control = False
+        host = fleet.hosts[0]
+        host.is_informed = False
+        await host.gate_host.probe_servers(lambda gate: False)
+        await asyncio.sleep(0.8)
+        fleet.server.turn_cold()
+        fleet.has_control = True
+        fleet.server.is_heard = False
+        host.is_informed = True
+        fleet.senders = [0]
+
+    check_spared(miss)
+
+
+def test_server_that_moves_between_gates_of_a_host_is_spared():
+    """Guards against a pace that starts anew with each gate of a server."""
+
+    async def move(fleet):
+        fleet.has_control = False
+        fleet.server.crash()
+        await asyncio.sleep(1.0)
+        fleet.server.start()
+        host = fleet.hosts[0]
+        record = host.view.servers[fleet.server.name]
+        for number in range(20):
+            gate = GateId(
+                pool="desk",
+                name=f"desk/east/{number}",
+                failure_domain=record.failure_domain,
+            )
+            host.gate_host.update(host.view, {gate: [record]})
+            host.gate = gate.name
+            await asyncio.sleep(0.09)
+
+    check_spared(move)
+
+
+def test_requests_that_cannot_be_sent_are_refused_at_once():
+    """Guards against requests that wait for a server which does not answer checks."""
+
+    async def silence(fleet):
+        fleet.server.answers_health = False
+        fleet.hosts[0].is_informed = False
+        fleet.hosts[0].rank = 5
+        await asyncio.sleep(3.0)
+
+    for seed in SEEDS:
+        fleet = play(silence, seed=seed, rate=10.0)
+        waits = sorted(fleet.hosts[0].callers.waits[-20:])
+        assert waits[10] < 0.25, f"seed {seed}"
+
+
+def test_next_process_after_a_long_absence_is_not_presumed_cold():
+    """Guards against a warm server that is spared as it ended a long time ago."""
+
+    async def return_late(fleet):
+        fleet.server.tells_cold_starts = False
+        fleet.server.crash()
+        await asyncio.sleep(0.3)
+        fleet.senders = []
+        fleet.server.start()
+        await asyncio.sleep(20.0)
+        fleet.senders = [0]
+        await asyncio.sleep(3.0)
+
+    async def rest(fleet):
+        fleet.senders = []
+        await asyncio.sleep(20.3)
+        fleet.senders = [0]
+        await asyncio.sleep(3.0)
+
+    for seed in SEEDS:
+        usual = play(rest, seed=seed, rate=15.0)
+        fleet = play(return_late, seed=seed, rate=15.0)
+        assert fleet.answered >= usual.answered - 20
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -140,14 +140,19 @@
             {"X-Monsoonlug-Instance-Id": "s1", "X-Monsoonlug-Warmup-Ms": "2500"},
             2.5,
         ),
-        ("200 OK", {"X-Monsoonlug-Warmup-Ms": "2500"}, 2.5),
+        ("200 OK", {"X-Monsoonlug-Warmup-Ms": "2500"}, None),
+        ("503 Service Unavailable", {"X-Monsoonlug-Not-Executed": "1"}, None),
         (
             "503 Service Unavailable",
             {"X-Monsoonlug-Instance-Id": "s1", "X-Monsoonlug-Warmup-Ms": "800.5"},
             0.8005,
         ),
         ("200 OK", {"X-Monsoonlug-Instance-Id": "other"}, None),
-        ("200 OK", {"X-Monsoonlug-Warmup-Ms": "soon"}, None),
+        (
+            "200 OK",
+            {"X-Monsoonlug-Instance-Id": "s1", "X-Monsoonlug-Warmup-Ms": "soon"},
+            None,
+        ),
     ],
 )
 async def test_health_response_tells_a_cold_start(status, headers, cold_seconds):
