--- a/tests/test_hostile_heads.py
+++ b/tests/test_hostile_heads.py
@@ -3,8 +3,8 @@
 Each test plays forms one after another at one process. After each form it checks that
 the process is still running, that resident memory and unread bytes together stayed
 within the memory of the host and descriptors within their limit, and that one ordinary
-request is answered. After a form that exceeds a bound the next ones are played, unless the
-process ended or did not answer.
+request is answered. After a form that exceeds a bound the next ones are played, unless
+the process ended or did not answer.
 """
 
 import asyncio
