Read less ahead from streams before their handshake

A crowd of 400 clients at the port between processes took an entry of 96 MB to 119 MB and a control replica to 100 MB, resident and unread together, before any of them had said who it is.

Cause: the reader of an accepted stream took up to 131,072 bytes ahead from the first moment on, though the first frame has at most 4,096; and the log line on a frame that cannot be decoded quoted the frame. The reader now takes 8,192 bytes until the handshake is done, and the line is short.

Kernel buffers of streams are unchanged.

--- a/src/monsoonlug/links.py
+++ b/src/monsoonlug/links.py
@@ -10,7 +10,7 @@
 from monsoonlug.logs import get_logger
 from monsoonlug.memory_budget import MemoryBudget
 from monsoonlug.settings import split_address
-from monsoonlug.streams import MessageStream, connect
+from monsoonlug.streams import MAX_HELLO_BYTES, MessageStream, connect
 
 MIN_RECONNECT_DELAY = 0.02  # seconds
 MAX_RECONNECT_DELAY = 0.25  # seconds
@@ -178,7 +178,9 @@
             OSError: If the address is not available.
         """
         host, port = split_address(self._address)
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._server = await asyncio.start_server(
+            self._accept, host, port, limit=MAX_HELLO_BYTES
+        )
         if self._limits is not None:
             limit_receive_buffers(self._server, self._limits.receive_buffer)
 
--- a/src/monsoonlug/messages.py
+++ b/src/monsoonlug/messages.py
@@ -18,6 +18,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 1_048_576
+MAX_REASON_LENGTH = 100  # characters of an error
 MIN_COMPRESSED_BYTES = 1_024  # of a message that is sent to many entries
 MAX_DECOMPRESSED_BYTES = 2 * MAX_FRAME_BYTES
 COMPRESSION_LEVEL = 6
@@ -102,7 +103,9 @@
             fields[name] = value
         message = message_type(**fields)
     except (ValueError, TypeError, KeyError, IndexError) as error:
-        raise DamagedFrame(f"frame cannot be decoded: {error!r}") from error
+        # The text of some errors quotes the frame.
+        reason = repr(error)[:MAX_REASON_LENGTH]
+        raise DamagedFrame(f"frame cannot be decoded: {reason}") from None
     return _decompress(message) if isinstance(message, Compressed) else message
 
 
--- a/src/monsoonlug/streams.py
+++ b/src/monsoonlug/streams.py
@@ -15,6 +15,7 @@
 _LENGTH = struct.Struct(">I")
 _IP_FAMILIES = (socket.AF_INET, socket.AF_INET6)
 HELLO_TIMEOUT = 2.0  # seconds
+READ_BUFFER_BYTES = 65_536  # the double pauses reading, after the handshake
 MAX_HELLO_BYTES = 4_096  # of the first frame; names have at most 64 characters
 # Larger frames are read in parts, whose size counts towards the memory budget.
 PART_BYTES = 65_536
@@ -238,6 +239,8 @@
             )
         self.peer = answer.sender
         self.peer_role = answer.role
+        # Listeners read little ahead from peers that are not known yet.
+        self._reader._limit = READ_BUFFER_BYTES
 
 
 def set_user_timeout(
